Count calls of slow upstreams as in time while they have waited for little

On upstreams of speed 0.7 a lookup takes 0.43 s with its calls; 1.5 times that is more than the target, so all counted as late on arrival and waited in the order of arrival, up to the deadline. Ruled out: a lower margin for all, as the margin keeps queues short elsewhere. Change: such calls are in time until 15 % of their time has passed in the queue, unless less than 0.75 of the expected time is left.

--- a/core/call/adm.c
+++ b/core/call/adm.c
@@ -32,6 +32,10 @@
  * time.  Times in a slot scatter widely; a shorter queue costs no capacity.
  */
 #define TARGET_MARGIN 1.5
+/* With less than this many expected times left, most calls come too late. */
+#define TARGET_LEAST 0.75
+/* Share of the time until the target that a queue of slow calls leaves. */
+#define TARGET_KEPT 0.85
 /* Calls that may wait whatever the target, so that a floor is not lost. */
 #define QUEUE_MIN 4
 /* Longest estimated wait that is reported. */
@@ -326,12 +330,24 @@
 	       (double)(j->deadline - now) < expected(q, j) / 2;
 }
 
-/* TRUE if a call that starts at "at" is expected to miss its target. */
+/*
+ * TRUE if a call that starts at "at" is expected to miss its target.  Load it
+ * answers: an upstream so slow that the margin exceeds what calls arrive with.
+ * They count as in time while they have waited for little, so that a short
+ * queue of them goes first; otherwise all would wait in the order of arrival
+ * and none would be in time.
+ */
 static gboolean
 misses(const struct queue *q, const struct adm_job *j, gint64 at)
 {
-	return j->target != 0 &&
-	       (double)(j->target - at) < expected(q, j) * TARGET_MARGIN;
+	double left = (double)(j->target - at);
+	double first = (double)(j->target - j->queued_at);
+	double e = expected(q, j);
+
+	if (j->target == 0)
+		return FALSE;
+	return left < e * TARGET_LEAST ||
+	       left < MIN(e * TARGET_MARGIN, first * TARGET_KEPT);
 }
 
 /* The first call of a rank that can meet its target, else the first late one.
