Take over a backend server that is at work when its node starts

Ruled out: gossip of the registration (docs/decisions.md). Change: it asks the server's health, at most three times, and takes the incarnation that is well for one of the service of the settings, with the fewest slots that another upstream of it has. Its next announcement replaces what is held; one that has left is never taken. waited_ms of a line 'ran' is 0 for work that admission never saw, not the age of the clock. Tests: servers_at_work_are_taken_over, adopted_until_announced, adopted_and_left (without the adoption the first fails by construction).

--- a/cmd/ptproxy/backend.c
+++ b/cmd/ptproxy/backend.c
@@ -86,6 +86,7 @@
 {
 	gint64 now = pt_now(&r->backend->proxy->clock);
 	gboolean started = r->job.started_at != 0;
+	gint64 queued = r->job.queued_at != 0 ? r->job.queued_at : now;
 
 	pt_event(&r->backend->proxy->events, PT_LEVEL_DEBUG, "ran",
 	    "id=%s outcome=%s priority=%d waited_ms=%" G_GINT64_FORMAT
@@ -93,7 +94,7 @@
 	    " running=%u queued=%u left_ms=%" G_GINT64_FORMAT,
 	    r->work->attempt_id != NULL ? r->work->attempt_id : "-", outcome,
 	    r->work->priority,
-	    ((started ? r->job.started_at : now) - r->job.queued_at) /
+	    ((started ? r->job.started_at : now) - queued) /
 		G_TIME_SPAN_MILLISECOND,
 	    started ? (now - r->job.started_at) / G_TIME_SPAN_MILLISECOND : 0,
 	    adm_running(r->backend->adm), adm_queued(r->backend->adm),
@@ -248,8 +249,8 @@
 }
 
 /* A new incarnation gets new connections. */
-static struct h1_pool *
-pool_get(struct backend *b)
+struct h1_pool *
+backend_pool(struct backend *b)
 {
 	const struct plat_addr *a = &b->proxy->set->backend;
 	struct h1_pool_opts o = { .host = a->host,
@@ -282,7 +283,7 @@
 	plat_request_put(s, &told);
 	o.request = work_end(s, r->work);
 	budget_ran(b->proxy->budget, r->work->repeat);
-	r->call = h1_call_new(pool_get(b), &o);
+	r->call = h1_call_new(backend_pool(b), &o);
 	g_bytes_unref(o.request);
 	r->timer = sys_after(told.left + LATE_US, late, r);
 }
--- a/cmd/ptproxy/proxy.c
+++ b/cmd/ptproxy/proxy.c
@@ -71,6 +71,7 @@
 	p->rtab = t;
 	set_budgets(p);
 	backend_update(p->backend);
+	adopt_look(p->adopt);
 	sys_ticker_kick(p->memb_ticker);
 }
 
@@ -189,6 +190,7 @@
 	start_decisions(p);
 	p->store = plat_store_new(&p->set->store);
 	p->backend = backend_new(p);
+	p->adopt = adopt_new(p);
 	p->peers = peers_new(p);
 	if (!members_start(p, err))
 		return FALSE;
@@ -222,6 +224,7 @@
 	g_clear_pointer(&p->source, source_free);
 	members_stop(p);
 	g_clear_pointer(&p->peers, peers_free);
+	g_clear_pointer(&p->adopt, adopt_free);
 	g_clear_pointer(&p->backend, backend_free);
 }
 
--- a/cmd/ptproxy/proxy.h
+++ b/cmd/ptproxy/proxy.h
@@ -133,6 +133,15 @@
 /* The server has announced itself again. */
 void backend_heard(struct backend *);
 void backend_sweep(struct backend *);
+struct h1_pool *backend_pool(struct backend *);
+
+/* ---- adopt.c: a backend server that runs when this process starts ---- */
+
+struct adopt;
+struct adopt *adopt_new(struct proxy *);
+void adopt_free(struct adopt *);
+/* Asks the server if none is held and a configuration tells how. */
+void adopt_look(struct adopt *);
 
 /* ---- peer.c: exchanges through other nodes ---- */
 
@@ -293,6 +302,7 @@
 	struct source *source;
 	struct meet *meet;
 	struct backend *backend;
+	struct adopt *adopt;
 	struct peers *peers;
 	struct serve *serve;
 	struct ingress *ingress;
--- a/core/reg/reg.c
+++ b/core/reg/reg.c
@@ -142,13 +142,29 @@
 	return v;
 }
 
+gboolean
+reg_adopt(struct reg *r, const char *id, int slots)
+{
+	struct reg_beat b = { .id = id,
+		.service = r->service,
+		.sequence = -1,
+		.slots = slots,
+		.state = REG_SERVING };
+
+	if (r->id != NULL || has_left(r, &b))
+		return FALSE;
+	take_new(r, &b, pt_now(&r->o.clock));
+	return TRUE;
+}
+
 gboolean
 reg_leave(struct reg *r, const char *id, gint64 wall)
 {
 	gint64 now = pt_now(&r->o.clock);
 	gboolean held = r->id != NULL && strcmp(r->id, id) == 0;
 
-	note_left(r, id, held ? r->born : wall);
+	/* The start of a server that was taken over is not known. */
+	note_left(r, id, held && r->sequence >= 0 ? r->born : wall);
 	if (!held)
 		return r->id == NULL;
 	if (!r->leaving)
--- a/core/reg/reg.h
+++ b/core/reg/reg.h
@@ -41,6 +41,12 @@
 void reg_free(struct reg *);
 
 enum reg_verdict reg_beat(struct reg *, const struct reg_beat *);
+/*
+ * Takes a server that was found at work for one of the service that the
+ * settings name, until it announces itself: its next announcement replaces what
+ * is held.  FALSE: one is held already, or this one has left.
+ */
+gboolean reg_adopt(struct reg *, const char *id, int slots);
 /*
  * TRUE if the id is the one held, or none is held.  Of an unknown server every
  * start up to "wall", the time of day in Unix ms, counts as left.
--- a/test/proxy_test.c
+++ b/test/proxy_test.c
@@ -361,6 +361,133 @@
 }
 END_TEST
 
+/* ---- a server at work when the node starts ---- */
+
+static struct {
+	int status;
+	const char *id;
+	int asked;
+} health;
+
+static void
+health_asked(void *ctx, struct h1_request *r)
+{
+	struct h1_field f = { (char *)"X-Primrosetide-Instance-Id",
+		(char *)health.id };
+	struct h1_answer a = { .status = health.status,
+		.fields = &f,
+		.n_fields = health.id != NULL };
+
+	ck_assert_str_eq(r->head->target, "/well");
+	health.asked++;
+	h1_small_answer(r, &a);
+}
+
+static const struct h1_small_ops health_ops = { .request = health_asked };
+
+static void
+no_dgram(void *ctx, const char *host, guint port, const void *data, gsize len)
+{
+}
+
+static gint64
+no_tick(void *arg)
+{
+	return G_MAXINT64;
+}
+
+static struct rtab *
+table_new(void)
+{
+	struct rtab_service s = { .name = (char *)(guintptr) "svc",
+		.health_path = (char *)(guintptr) "/well" };
+	struct rtab *t = rtab_new(1);
+
+	rtab_add_service(t, &s);
+	ck_assert(rtab_done(t, NULL));
+	return t;
+}
+
+/*
+ * Asks a server whose health gives this status and id until one answer was
+ * read; "left": the server has told that it leaves.  TRUE: it was taken over.
+ */
+static gboolean
+taken_over(int status, const char *id, gboolean left)
+{
+	struct h1_small_opts o = { .host = HOST, .ops = &health_ops };
+	struct h1_small *s = h1_small_new(&o, NULL);
+	struct reg_opts ro = { .clock = sys_clock,
+		.address = "",
+		.service = "svc",
+		.heartbeat = G_TIME_SPAN_MINUTE };
+	struct plat_settings set = { .service = (char *)(guintptr) "svc" };
+	struct proxy p = { .clock = sys_clock, .set = &set };
+	struct pt_member self = { .instance = (char *)(guintptr) "self",
+		.host = (char *)(guintptr)HOST,
+		.domain = (char *)(guintptr) "z",
+		.region = (char *)(guintptr) "r",
+		.service = (char *)(guintptr) "" };
+	struct pt_dgram gram = { .send = no_dgram };
+	struct memb_opts mo = { .self = &self,
+		.clock = &p.clock,
+		.dgram = &gram,
+		.rpc = &p.rpc,
+		.events = &p.events };
+	gboolean taken;
+
+	set.backend.host = (char *)(guintptr)HOST;
+	set.backend.port = h1_small_bound(s);
+	p.reg = reg_new(&ro);
+	p.stats = stats_new();
+	p.budget = budget_new();
+	mo.rand = p.rand = g_rand_new_with_seed(1);
+	p.memb = memb_new(&mo);
+	p.memb_ticker = sys_ticker_new(no_tick, NULL);
+	p.dirty = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	p.backend = backend_new(&p);
+	p.adopt = adopt_new(&p);
+	p.rtab = table_new();
+	health.status = status;
+	health.id = id;
+	health.asked = 0;
+	if (left)
+		reg_leave(
+		    p.reg, id, g_get_real_time() / G_TIME_SPAN_MILLISECOND);
+	adopt_look(p.adopt);
+	/* A second question shows that the first answer was read. */
+	UNTIL(reg_serving(p.reg) || health.asked == 2);
+	taken = reg_serving(p.reg);
+	if (taken)
+		ck_assert_str_eq(reg_id(p.reg), id);
+	adopt_free(p.adopt);
+	backend_free(p.backend);
+	sys_cancel(&p.rebuild);
+	g_hash_table_unref(p.dirty);
+	sys_ticker_free(p.memb_ticker);
+	memb_free(p.memb);
+	g_rand_free(p.rand);
+	rtab_unref(p.rtab);
+	reg_free(p.reg);
+	stats_free(p.stats);
+	budget_free(p.budget);
+	h1_small_free(s);
+	return taken;
+}
+
+/*
+ * Guards against a server at work whose slots stand idle until its next
+ * announcement, and against work at one that leaves, has left or is not named.
+ */
+START_TEST(servers_at_work_are_taken_over)
+{
+	ck_assert(taken_over(200, "i-1", FALSE));
+	ck_assert(!taken_over(503, "i-1", FALSE));
+	ck_assert(!taken_over(200, "i-1", TRUE));
+	ck_assert(!taken_over(200, NULL, FALSE));
+}
+END_TEST
+
 /* ---- source.c ---- */
 
 /*
@@ -405,6 +532,7 @@
 	tcase_add_test(t, unreached_nodes_have_seen_nothing);
 	tcase_add_test(t, refusals_keep_their_connection);
 	tcase_add_test(t, unsigned_successes_spoil_their_connection);
+	tcase_add_test(t, servers_at_work_are_taken_over);
 	suite_add_tcase(suite, t);
 	return suite_run(suite);
 }
--- a/test/rtab_test.c
+++ b/test/rtab_test.c
@@ -265,6 +265,45 @@
 }
 END_TEST
 
+/*
+ * Guards against a server taken over that has left or is known better, and one
+ * that its own announcement does not replace.
+ */
+START_TEST(adopted_until_announced)
+{
+	gint64 since;
+
+	ck_assert(reg_leave(r, "i-0", 1000));
+	ck_assert(!reg_adopt(r, "i-0", 4));
+	ck_assert(!reg_serving(r));
+	ck_assert(reg_adopt(r, "i-1", 4));
+	ck_assert(reg_serving(r));
+	ck_assert_int_eq(reg_slots(r), 4);
+	ck_assert(!reg_adopt(r, "i-2", 4));
+	ck_assert_int_eq(beat("i-1", 500, 7, REG_DRAINING), REG_NEW);
+	ck_assert(!reg_serving(r));
+	ck_assert(reg_leaving(r, &since));
+	ck_assert_int_eq(beat("i-1", 500, 6, REG_SERVING), REG_STALE);
+	ck_assert(!reg_adopt(r, "i-1", 4));
+}
+END_TEST
+
+/* Guards against work sent to an adopted server that has told that it left. */
+START_TEST(adopted_and_left)
+{
+	ck_assert(reg_adopt(r, "i-1", 4));
+	ck_assert(reg_leave(r, "i-1", 1000));
+	ck_assert(!reg_serving(r));
+	ck_assert(!reg_adopt(r, "i-1", 4));
+	/* A late announcement from before. */
+	ck_assert_int_eq(beat("i-1", 500, 7, REG_SERVING), REG_STALE);
+	ck_assert(!reg_serving(r));
+	/* A new start under the same name. */
+	ck_assert_int_eq(beat("i-1", 2000, 1, REG_SERVING), REG_NEW);
+	ck_assert(reg_serving(r));
+}
+END_TEST
+
 int
 main(void)
 {
@@ -281,6 +320,8 @@
 	tcase_add_test(reg, leave_of_an_unknown_server_holds);
 	tcase_add_test(reg, foreign_addresses_are_refused);
 	tcase_add_test(reg, silence_is_noticed);
+	tcase_add_test(reg, adopted_until_announced);
+	tcase_add_test(reg, adopted_and_left);
 	suite_add_tcase(suite, reg);
 	return suite_run(suite);
 }
--- a/test/source_test.c
+++ b/test/source_test.c
@@ -421,6 +421,11 @@
 		.address = "a",
 		.service = "s",
 		.heartbeat = SECOND };
+	struct reg_beat beat = { .id = "i-1",
+		.service = "s",
+		.address = "a",
+		.slots = 1,
+		.state = REG_SERVING };
 
 	TAILQ_INIT(&timers);
 	now_us = 1000 * SECOND;
@@ -440,9 +445,11 @@
 	p.memb = memb_new(&o);
 	p.memb_ticker = sys_ticker_new(NULL, NULL);
 	p.reg = reg_new(&ro);
+	ck_assert_int_eq(reg_beat(p.reg, &beat), REG_NEW);
 	p.budget = budget_new();
 	p.stats = stats_new();
 	p.backend = backend_new(&p);
+	p.adopt = adopt_new(&p);
 }
 
 static void
@@ -456,6 +463,7 @@
 		TAILQ_REMOVE(&timers, t, entry);
 		g_free(t);
 	}
+	adopt_free(p.adopt);
 	backend_free(p.backend);
 	sys_ticker_free(p.memb_ticker);
 	memb_free(p.memb);
