Let short calls pass long ones of the same rank

Change: within a rank a call's place is the time at which it joins those in time, or those that are late, plus the time that it takes; the wait that it is let in by counts only the calls before it.

--- a/core/call/adm.c
+++ b/core/call/adm.c
@@ -141,20 +141,26 @@
 }
 
 /* Calls that were refused before go ahead of those that come first. */
+static gboolean
+before(const struct adm_job *x, const struct adm_job *y)
+{
+	if (x->returned != y->returned)
+		return x->returned;
+	return x->place <= y->place;
+}
+
 static void
 link_job(struct adm *a, struct adm_job *j)
 {
 	struct queue *q = queue_of(a, j);
-	struct adm_job *at = NULL;
+	struct adm_job *at = TAILQ_LAST(&q->jobs, job_list);
 
-	if (j->returned)
-		TAILQ_FOREACH(at, &q->jobs, link)
-	if (!at->returned)
-		break;
+	while (at != NULL && !before(at, j))
+		at = TAILQ_PREV(at, job_list, link);
 	if (at != NULL)
-		TAILQ_INSERT_BEFORE(at, j, link);
+		TAILQ_INSERT_AFTER(&q->jobs, at, j, link);
 	else
-		TAILQ_INSERT_TAIL(&q->jobs, j, link);
+		TAILQ_INSERT_HEAD(&q->jobs, j, link);
 	q->n++;
 	q->n_unknown += j->cost <= 0;
 	q->work += (double)MAX(j->cost, 0);
@@ -331,23 +337,43 @@
 }
 
 /*
- * TRUE if a call that starts at "at" is expected to miss its target.  Load it
- * answers: an upstream so slow that the margin exceeds what calls arrive with.
- * They count as in time while they have waited for little, so that a short
- * queue of them goes first; otherwise all would wait in the order of arrival
- * and none would be in time.
+ * Time that must be left until the target when a call starts.  Load it answers:
+ * an upstream so slow that the margin exceeds what calls arrive with.  They
+ * count as in time while they have waited for little, so that a short queue of
+ * them goes first; otherwise all would wait in the order of arrival and none
+ * would be in time.
  */
-static gboolean
-misses(const struct queue *q, const struct adm_job *j, gint64 at)
+static double
+needed(const struct queue *q, const struct adm_job *j)
 {
-	double left = (double)(j->target - at);
 	double first = (double)(j->target - j->queued_at);
 	double e = expected(q, j);
 
-	if (j->target == 0)
-		return FALSE;
-	return left < e * TARGET_LEAST ||
-	       left < MIN(e * TARGET_MARGIN, first * TARGET_KEPT);
+	return MAX(
+	    e * TARGET_LEAST, MIN(e * TARGET_MARGIN, first * TARGET_KEPT));
+}
+
+/* TRUE if a call that starts at "at" is expected to miss its target. */
+static gboolean
+misses(const struct queue *q, const struct adm_job *j, gint64 at)
+{
+	return j->target != 0 && (double)(j->target - at) < needed(q, j);
+}
+
+/*
+ * Puts a call among those that can meet their targets, or behind them.  Its
+ * place is the time at which it joins plus the time that it takes.  Load it
+ * answers: short calls that others wait for, beside long calls of the same rank
+ * that have more time; in the order of arrival the short ones would fail, and
+ * with them the calls that made them.
+ */
+static void
+set_late(struct adm *a, struct adm_job *j, gboolean late, gint64 now)
+{
+	j->late = late;
+	j->place = now;
+	if (j->target != 0)
+		j->place += (gint64)expected(queue_of(a, j), j);
 }
 
 /* The first call of a rank that can meet its target, else the first late one.
@@ -360,7 +386,7 @@
 
 	while ((j = TAILQ_FIRST(&q->jobs)) != NULL && misses(q, j, now)) {
 		unlink_job(a, j);
-		j->late = TRUE;
+		set_late(a, j, TRUE, now);
 		link_job(a, j);
 	}
 	return j != NULL ? j : TAILQ_FIRST(&r->sub[LATE].jobs);
@@ -403,6 +429,24 @@
 	return q->work + q->n_unknown * q->service.mean;
 }
 
+/* The same of those that go before a call; NULL: of all. */
+static double
+work_before(const struct queue *q, const struct adm_job *j)
+{
+	const struct adm_job *x;
+	double w = 0;
+
+	if (j == NULL)
+		return queued_work(q);
+	TAILQ_FOREACH(x, &q->jobs, link)
+	{
+		if (!before(x, j))
+			break;
+		w += expected(q, x);
+	}
+	return w;
+}
+
 static double
 share_used(const struct adm *a, const struct queue *q, gint64 now)
 {
@@ -441,17 +485,19 @@
  * rank's own queue at its floor, whichever is shorter.
  */
 static gint64
-wait_ranked(struct adm *a, int order, gboolean late, gint64 now)
+wait_ranked(struct adm *a, int order, const struct adm_job *j, gint64 now)
 {
+	gboolean late = j != NULL && j->late;
 	double ahead = a->service.mean, w, f;
 	struct rank *r = &a->r[order];
 	int i;
 
-	for (i = 0; i <= order; i++) {
-		ahead += queued_work(&a->r[i].sub[DUE]);
-		if (i < order || late)
-			ahead += queued_work(&a->r[i].sub[LATE]);
-	}
+	for (i = 0; i < order; i++)
+		ahead += queued_work(&a->r[i].sub[DUE]) +
+			 queued_work(&a->r[i].sub[LATE]);
+	ahead += work_before(&r->sub[DUE], late ? NULL : j);
+	if (late)
+		ahead += work_before(&r->sub[LATE], j);
 	w = drain_time(a, ahead, 1 - share_taken(a, order, late, now));
 	if (a->o.mode == ADM_RANK && r->floor > 0) {
 		f = drain_time(
@@ -461,8 +507,9 @@
 	return (gint64)MIN(w, (double)WAIT_MAX);
 }
 
+/* Of a call, or of any in time that comes last (NULL). */
 static gint64
-wait_at(struct adm *a, int order, gboolean late, gint64 now)
+wait_at(struct adm *a, int order, const struct adm_job *j, gint64 now)
 {
 	if ((int)a->running < a->slots && a->queued == 0)
 		return 0;
@@ -470,13 +517,13 @@
 		return (gint64)MIN(
 		    drain_time(a, (a->queued + 1) * a->service.mean, 1),
 		    (double)WAIT_MAX);
-	return wait_ranked(a, CLAMP(order, 0, PT_RANKS_MAX - 1), late, now);
+	return wait_ranked(a, CLAMP(order, 0, PT_RANKS_MAX - 1), j, now);
 }
 
 gint64
 adm_wait(struct adm *a, int order)
 {
-	return wait_at(a, order, FALSE, pt_now(&a->o.clock));
+	return wait_at(a, order, NULL, pt_now(&a->o.clock));
 }
 
 static gboolean
@@ -518,11 +565,14 @@
 place(struct adm *a, struct adm_job *j, gint64 now)
 {
 	struct queue *q = &rank_of(a, j->order)->sub[DUE];
-	gint64 w = wait_at(a, j->order, FALSE, now);
+	gint64 w;
 
-	j->late = misses(q, j, now + w);
-	if (j->late)
-		w = wait_at(a, j->order, TRUE, now);
+	set_late(a, j, FALSE, now);
+	w = wait_at(a, j->order, j, now);
+	if (misses(q, j, now + w)) {
+		set_late(a, j, TRUE, now);
+		w = wait_at(a, j->order, j, now);
+	}
 	return (double)(j->deadline - now - w) >= expected(q, j);
 }
 
@@ -532,14 +582,14 @@
 	gint64 now = pt_now(&a->o.clock);
 	struct rank *r = rank_of(a, order);
 
+	j->order = order;
+	j->deadline = deadline;
+	j->queued_at = j->place = now;
+	j->late = FALSE;
 	if (!serving(a))
 		return ADM_NOT_SERVING;
 	if (deadline <= now)
 		return ADM_EXPIRED;
-	j->order = order;
-	j->deadline = deadline;
-	j->queued_at = now;
-	j->late = FALSE;
 	if ((int)a->running < a->slots && a->queued == 0) {
 		start(a, j, now);
 		return ADM_STARTED;
@@ -547,7 +597,7 @@
 	if (waiting(r) >= queue_max(a))
 		return ADM_FULL;
 	if (j->target != 0 ? !place(a, j, now)
-			   : too_long(a, r, wait_at(a, order, FALSE, now),
+			   : too_long(a, r, wait_at(a, order, NULL, now),
 				 deadline - now, now))
 		return ADM_LATE;
 	link_job(a, j);
@@ -636,7 +686,7 @@
 	l->queued = (int)a->queued;
 	l->state = a->closed && a->state == PT_SERVING ? PT_DRAINING : a->state;
 	for (i = 0; i < PT_RANKS_MAX; i++)
-		a->wait_ms[i] = (int)((wait_at(a, i, FALSE, now) +
+		a->wait_ms[i] = (int)((wait_at(a, i, NULL, now) +
 					  G_TIME_SPAN_MILLISECOND - 1) /
 				      G_TIME_SPAN_MILLISECOND);
 	l->wait_ms.wait_ms_len = PT_RANKS_MAX;
--- a/test/call_test.c
+++ b/test/call_test.c
@@ -623,6 +623,59 @@
 	    adm_submit(a, &t->job, 0, now_us + 10000 * MS), ADM_QUEUED);
 }
 
+/*
+ * Guards against short calls that fail behind long ones of the same rank, and
+ * against long ones that never start: a long call is passed only by short ones
+ * that come within its own time.
+ */
+START_TEST(short_calls_pass_long_ones)
+{
+	struct adm *a = adm_make(1, 8);
+	struct task held, lng, shrt, later;
+
+	memset(&held, 0, sizeof(held));
+	ck_assert_int_eq(adm_submit(a, &held.job, 0, G_MAXINT64), ADM_STARTED);
+	submit(a, &lng, now_us + 1500 * MS, 290 * MS, FALSE);
+	now_us += 100 * MS;
+	submit(a, &shrt, now_us + 400 * MS, 55 * MS, FALSE);
+	now_us += 160 * MS;
+	submit(a, &later, now_us + 600 * MS, 55 * MS, FALSE);
+	adm_finish(a, &held.job);
+	ck_assert(!lng.started && !later.started);
+	ck_assert(shrt.started);
+	adm_finish(a, &shrt.job);
+	ck_assert(lng.started && !later.started);
+	adm_finish(a, &lng.job);
+	ck_assert(later.started);
+	adm_finish(a, &later.job);
+	adm_free(a);
+}
+END_TEST
+
+/*
+ * Guards against an upstream so slow that its calls all count as late on
+ * arrival: they would wait in the order of arrival until none is in time.  One
+ * that has waited for long lets one pass that has just come.
+ */
+START_TEST(slow_upstreams_serve_in_time)
+{
+	struct adm *a = adm_make(1, 8);
+	struct task held, old, fresh;
+
+	memset(&held, 0, sizeof(held));
+	ck_assert_int_eq(adm_submit(a, &held.job, 0, G_MAXINT64), ADM_STARTED);
+	submit(a, &old, now_us + 500 * MS, 430 * MS, FALSE);
+	now_us += 300 * MS;
+	submit(a, &fresh, now_us + 500 * MS, 430 * MS, FALSE);
+	adm_finish(a, &held.job);
+	ck_assert(fresh.started && !old.started);
+	adm_finish(a, &fresh.job);
+	ck_assert(old.started);
+	adm_finish(a, &old.job);
+	adm_free(a);
+}
+END_TEST
+
 /*
  * Guards against a late call that takes the slot of one that can still end in
  * time, and against a caller that is refused again while new ones are served.
@@ -1245,6 +1298,8 @@
 	t = tcase_create("targets");
 	tcase_add_test(t, overload_serves_in_time);
 	tcase_add_test(t, below_capacity_nobody_is_refused);
+	tcase_add_test(t, short_calls_pass_long_ones);
+	tcase_add_test(t, slow_upstreams_serve_in_time);
 	tcase_add_test(t, late_calls_wait_behind_those_in_time);
 	tcase_add_test(t, targets_are_looked_at_again_at_the_start);
 	tcase_add_test(t, what_cannot_end_in_time_is_dropped_early);
