Let the backend server of a stopping node take work for as long as it can end

Ruled out: closing to callers sooner, as probes tell them after two seconds. Change: new work stops 3 s and the margin before the end of the grace time, 2.2 s after the signal of the 6 s that are usual. Test: work_of_a_stopping_node_ends_in_time.

--- a/cmd/ptproxy/proxy.h
+++ b/cmd/ptproxy/proxy.h
@@ -330,3 +330,8 @@
 
 /* stop.c: graceful shutdown */
 void stop_begin(struct proxy *);
+/*
+ * Time from the stop signal for which the backend server takes new work of
+ * others, so that it ends within the grace time.
+ */
+gint64 stop_serves(gint64 grace);
--- a/cmd/ptproxy/stop.c
+++ b/cmd/ptproxy/stop.c
@@ -17,16 +17,13 @@
 
 /* Probes and other nodes learn of the stop before connections are closed. */
 #define TELL_US (2500 * G_TIME_SPAN_MILLISECOND)
-/*
- * The backend server goes on to take work of others for this long: callers need
- * the time above to leave, and its slots would be idle meanwhile.
- */
-#define SERVE_US (1200 * G_TIME_SPAN_MILLISECOND)
 /*
  * The process ends this long before it would be killed: with a tenth of a core
  * the last steps alone took half of it.
  */
 #define MARGIN_US (800 * G_TIME_SPAN_MILLISECOND)
+/* The work that starts last may take this long: longest time-out of a route. */
+#define WORK_US (3 * G_TIME_SPAN_SECOND)
 #define CHECK_US (50 * G_TIME_SPAN_MILLISECOND)
 /* Time for the last datagrams and answers to leave. */
 #define LAST_US (100 * G_TIME_SPAN_MILLISECOND)
@@ -47,6 +44,16 @@
 	p->stopped(p->stopped_arg);
 }
 
+/*
+ * Callers of a stopping node need longer to leave than its backend server to
+ * end its work, and the slots would be idle meanwhile.
+ */
+gint64
+stop_serves(gint64 grace)
+{
+	return CLAMP(grace - MARGIN_US - WORK_US, 0, TELL_US);
+}
+
 static void
 check(void *arg)
 {
@@ -54,7 +61,7 @@
 	gint64 since = pt_now(&p->clock) - p->stop_at;
 
 	p->stop_timer = 0;
-	if (since >= SERVE_US && !p->draining) {
+	if (since >= stop_serves(p->set->grace) && !p->draining) {
 		p->draining = TRUE;
 		backend_update(p->backend);
 		members_announce(p);
--- a/test/proxy_test.c
+++ b/test/proxy_test.c
@@ -488,6 +488,26 @@
 }
 END_TEST
 
+/* ---- stop.c ---- */
+
+/*
+ * Guards against work that starts at a stopping node and is killed with it: a
+ * route may take 3 s, and the last steps of the process half a second.
+ */
+START_TEST(work_of_a_stopping_node_ends_in_time)
+{
+	const gint64 ms = G_TIME_SPAN_MILLISECOND;
+	gint64 grace;
+
+	for (grace = 3500 * ms; grace <= 60000 * ms; grace += 100 * ms)
+		ck_assert_int_le(
+		    stop_serves(grace) + 3500 * ms, MAX(grace, 3500 * ms));
+	ck_assert_int_eq(stop_serves(1000 * ms), 0);
+	/* With the usual 6 s the slots are not idle for most of them. */
+	ck_assert_int_ge(stop_serves(6000 * ms), 2000 * ms);
+}
+END_TEST
+
 /* ---- source.c ---- */
 
 /*
@@ -533,6 +553,7 @@
 	tcase_add_test(t, refusals_keep_their_connection);
 	tcase_add_test(t, unsigned_successes_spoil_their_connection);
 	tcase_add_test(t, servers_at_work_are_taken_over);
+	tcase_add_test(t, work_of_a_stopping_node_ends_in_time);
 	suite_add_tcase(suite, t);
 	return suite_run(suite);
 }
