--- a/core/call/adm.c
+++ b/core/call/adm.c
@@ -146,7 +146,7 @@
 {
 	if (x->returned != y->returned)
 		return x->returned;
-	return x->place <= y->place;
+	return x->turn <= y->turn;
 }
 
 static void
@@ -362,7 +362,7 @@
 
 /*
  * Puts a call among those that can meet their targets, or behind them.  Its
- * place is the time at which it joins plus the time that it takes.  Load it
+ * turn is the time at which it joins plus the time that it takes.  Load it
  * answers: short calls that others wait for, beside long calls of the same rank
  * that have more time; in the order of arrival the short ones would fail, and
  * with them the calls that made them.
@@ -371,9 +371,9 @@
 set_late(struct adm *a, struct adm_job *j, gboolean late, gint64 now)
 {
 	j->late = late;
-	j->place = now;
+	j->turn = now;
 	if (j->target != 0)
-		j->place += (gint64)expected(queue_of(a, j), j);
+		j->turn += (gint64)expected(queue_of(a, j), j);
 }
 
 /* The first call of a rank that can meet its target, else the first late one.
@@ -584,7 +584,7 @@
 
 	j->order = order;
 	j->deadline = deadline;
-	j->queued_at = j->place = now;
+	j->queued_at = j->turn = now;
 	j->late = FALSE;
 	if (!serving(a))
 		return ADM_NOT_SERVING;
--- a/core/call/call.h
+++ b/core/call/call.h
@@ -164,7 +164,7 @@
 	gboolean late; /* cannot meet its target any more */
 	gint64 deadline;
 	gint64 queued_at;
-	gint64 place; /* in its queue: the earliest goes first */
+	gint64 turn; /* in its queue: the earliest goes first */
 	gint64 started_at;
 };
 
