--- a/test/proxy_test.c
+++ b/test/proxy_test.c
@@ -408,6 +408,22 @@
 	return t;
 }
 
+static void
+parts_free(struct proxy *p)
+{
+	adopt_free(p->adopt);
+	backend_free(p->backend);
+	sys_cancel(&p->rebuild);
+	g_hash_table_unref(p->dirty);
+	sys_ticker_free(p->memb_ticker);
+	memb_free(p->memb);
+	g_rand_free(p->rand);
+	rtab_unref(p->rtab);
+	reg_free(p->reg);
+	stats_free(p->stats);
+	budget_free(p->budget);
+}
+
 /*
  * Asks a server whose health gives this status and id until one answer was
  * read; "left": the server has told that it leaves.  TRUE: it was taken over.
@@ -460,17 +476,7 @@
 	taken = reg_serving(p.reg);
 	if (taken)
 		ck_assert_str_eq(reg_id(p.reg), id);
-	adopt_free(p.adopt);
-	backend_free(p.backend);
-	sys_cancel(&p.rebuild);
-	g_hash_table_unref(p.dirty);
-	sys_ticker_free(p.memb_ticker);
-	memb_free(p.memb);
-	g_rand_free(p.rand);
-	rtab_unref(p.rtab);
-	reg_free(p.reg);
-	stats_free(p.stats);
-	budget_free(p.budget);
+	parts_free(&p);
 	h1_small_free(s);
 	return taken;
 }
