--- a/core/call/adm.c
+++ b/core/call/adm.c
@@ -438,8 +438,7 @@
 
 	if (j == NULL)
 		return queued_work(q);
-	TAILQ_FOREACH(x, &q->jobs, link)
-	{
+	for (x = TAILQ_FIRST(&q->jobs); x != NULL; x = TAILQ_NEXT(x, link)) {
 		if (!before(x, j))
 			break;
 		w += expected(q, x);
--- a/core/call/pace.c
+++ b/core/call/pace.c
@@ -119,8 +119,7 @@
 {
 	struct pace_job *j, *most = NULL;
 
-	TAILQ_FOREACH(j, &p->jobs, link)
-	{
+	for (j = TAILQ_FIRST(&p->jobs); j != NULL; j = TAILQ_NEXT(j, link)) {
 		if (!j->late && (most == NULL || j->expected > most->expected))
 			most = j;
 		if (j == last)
@@ -141,8 +140,7 @@
 	struct pace_job *j, *out;
 	double sum = 0;
 
-	TAILQ_FOREACH(j, &p->jobs, link)
-	{
+	for (j = TAILQ_FIRST(&p->jobs); j != NULL; j = TAILQ_NEXT(j, link)) {
 		j->late = FALSE;
 		sum += (double)j->expected;
 		if (p->rate <= 0 ||
@@ -161,8 +159,7 @@
 	struct pace_job *j, *first_late = NULL;
 
 	mark_late(p);
-	TAILQ_FOREACH(j, &p->jobs, link)
-	{
+	for (j = TAILQ_FIRST(&p->jobs); j != NULL; j = TAILQ_NEXT(j, link)) {
 		if (j->ready == 0)
 			continue;
 		if (!j->late)
