Remove a closed connection of the load client from the epoll set

Cause: a child that mesh_start() has forked and that has not called exec() yet still holds the socket, so close() leaves it in the epoll set, and its next event refers to freed memory (the demo's crash in send_more()). Test: closed_connection_gets_no_events; on the former code the loop stays pending after the connection was freed. Ruled out: the node, which uses sys_watch and removes descriptors itself.

--- a/bench/mesh/http1.c
+++ b/bench/mesh/http1.c
@@ -93,6 +93,11 @@
 	c->closed = TRUE;
 	if (c->idle)
 		TAILQ_REMOVE(&c->host->idle, c, link);
+	/*
+	 * Removed explicitly: while a child that mesh_start() forked holds the
+	 * socket, close() would leave it in the set.
+	 */
+	epoll_ctl(c->host->h->ep, EPOLL_CTL_DEL, c->fd, NULL);
 	close(c->fd);
 	c->host->n--;
 	TAILQ_INSERT_TAIL(&c->host->h->closed_conns, c, link);
