Count refusals of a peer for the link that they arrived on

Cause: a FULL answer or another protocol version from a peer used to catch up counted as a failure of the parent, and made the node read the log; BUSY answers of the parent counted as failures to catch up, and a node whose parents are all busy never read the log. Test: refusals_count_for_their_own_link; both halves fail on the former code.

--- a/core/dist/peer.c
+++ b/core/dist/peer.c
@@ -185,6 +185,16 @@
 	}
 }
 
+/* Counts a failed or refused call for what falls back on it. */
+static void
+count_failure(struct dist *d, const struct dist_link *l)
+{
+	if (l->catchup_only)
+		d->catchup_fails++;
+	else
+		d->parent_fails++;
+}
+
 static void
 sync_answered(struct dist *d, struct dist_link *l, const struct pt_sync_res *r)
 {
@@ -223,11 +233,11 @@
 
 			next_peer(l);
 			l->due = due;
-			d->catchup_fails++;
+			count_failure(d, l);
 		}
 		break;
 	default: /* FULL, or another protocol version */
-		d->parent_fails++;
+		count_failure(d, l);
 		next_peer(l);
 		l->due = now + dist_backoff(d, 0);
 	}
@@ -239,10 +249,7 @@
 	guint fails = l->fails + 1;
 
 	next_peer(l);
-	if (l->catchup_only)
-		d->catchup_fails++;
-	else
-		d->parent_fails++;
+	count_failure(d, l);
 	l->fails = fails;
 	l->due = pt_now(d->o.clock) + dist_backoff(d, fails);
 }
--- a/test/dist_test.c
+++ b/test/dist_test.c
@@ -24,6 +24,7 @@
 	pt_rpc_cb cb;
 	void *arg;
 	guint port;
+	gboolean once; /* PT_SYNC: to catch up */
 };
 
 static struct held held[CALLS_MAX];
@@ -33,8 +34,11 @@
 hold_call(void *ctx, const char *host, guint port, guint proc, const void *args,
     guint timeout_ms, pt_rpc_cb cb, void *arg)
 {
+	const struct pt_sync_args *a = args;
+
 	ck_assert_uint_lt(n_held, CALLS_MAX);
-	held[n_held++] = (struct held){ proc, cb, arg, port };
+	held[n_held++] =
+	    (struct held){ proc, cb, arg, port, proc == PT_SYNC && a->once };
 }
 
 /* Simulates live peers: answers each probe at once. */
@@ -271,6 +275,69 @@
 }
 END_TEST
 
+/* Answers a held SYNC with a status that asks the node to look elsewhere. */
+static void
+answer_status(struct held *h, enum pt_sync_status status)
+{
+	struct pt_sync_res r = { .proto = PT_PROTO, .status = status };
+
+	h->cb(h->arg, &r, NULL);
+}
+
+/*
+ * Guards against a node that reads the log because the peers from which it
+ * catches up refuse it, while its parent answers, and against one that never
+ * reads the log although every parent is busy.
+ */
+START_TEST(refusals_count_for_their_own_link)
+{
+	const enum pt_sync_status refusals[] = { PT_SYNC_FULL,
+		PT_VERSION_REFUSED };
+	const guint64 *reads;
+	struct fn *f;
+	struct held h;
+	guint i, n;
+
+	for (i = 0; i < G_N_ELEMENTS(refusals); i++) {
+		f = start_one();
+		reads = dist_stats(f->nodes[0].dist)->log_requests;
+		h = next_call(f, PT_SYNC);
+		answer_status(&h, PT_SYNC_BUSY);
+		for (n = 0; n < 8;) {
+			h = next_call(f, PT_SYNC);
+			if (h.once) {
+				answer_status(&h, refusals[i]);
+				n++;
+			}
+		}
+		fn_run(f, 2 * FN_US);
+		ck_assert_uint_eq(reads[DIST_LOG_DIRECT], 0);
+		stop_one(f);
+	}
+	f = start_one();
+	reads = dist_stats(f->nodes[0].dist)->log_requests;
+	while (!dist_ready(f->nodes[0].dist)) {
+		h = next_call(f, PT_SYNC);
+		answer_records(&h, 1, 2);
+	}
+	/* Three answers from each of three parents, not from a single one. */
+	for (n = 0; n < 9;) {
+		if (n <= 3)
+			ck_assert_uint_eq(reads[DIST_LOG_DIRECT], 0);
+		h = next_call(f, PT_SYNC);
+		if (h.once) {
+			answer_records(&h, 1, 2);
+			continue;
+		}
+		answer_status(&h, PT_SYNC_BUSY);
+		n++;
+	}
+	fn_run(f, 2 * FN_US);
+	ck_assert_uint_ge(reads[DIST_LOG_DIRECT], 1);
+	stop_one(f);
+}
+END_TEST
+
 static guint n_answers[8];
 
 static void
@@ -1173,6 +1240,7 @@
 	tcase_add_test(t, late_answers);
 	tcase_add_test(t, parent_behind);
 	tcase_add_test(t, damaged_snapshot);
+	tcase_add_test(t, refusals_count_for_their_own_link);
 	tcase_add_test(t, parent_limits);
 	tcase_add_test(u, converge);
 	tcase_add_test(u, status_lists_lagging);
