Do not take over a server that told the former process that it leaves; reload its address

Causes: (1) a server announces its leave once. A node that starts again beside it believed its health path and gave it work for four intervals of announcements. The node now announces no slots for a server that leaves; what other nodes hold of its former process tells the next one, which takes over no server until one announces itself. Without other nodes an adoption ends after two intervals. (2) After a reload with another address of the backend server the pool of the old one was kept; after one with another instance name, requests were compared with the new name while the membership entry kept the old. Ruled out: a record at the store for each leave (a call per leave, and none while the store is away); a longer list at the server's side of the wire. Tests: adoption_without_announcement_ends, former_process_tells_that_its_server_left, reload_moves_the_backend_server; all three fail on the former code. The wire format is unchanged.

--- a/adapter/h1/h1.h
+++ b/adapter/h1/h1.h
@@ -140,6 +140,11 @@
 struct h1_pool *h1_pool_new(const struct h1_pool_opts *);
 /* Fails the calls in progress with H1_END_RESET. */
 void h1_pool_free(struct h1_pool *);
+/*
+ * Closes the idle connections, and the others after their calls; frees the pool
+ * with the last one.  No call may be added.
+ */
+void h1_pool_retire(struct h1_pool *);
 /* Closes connections that have exceeded their idle time. */
 void h1_pool_sweep(struct h1_pool *);
 /* Number of idle connections. */
--- a/adapter/h1/pool.c
+++ b/adapter/h1/pool.c
@@ -38,6 +38,7 @@
 	struct h1_pool_opts o;
 	char *host;
 	struct pconns idle, busy;
+	gboolean retired; /* freed when no call is in progress */
 	guint n_idle;
 	guint64 opened;
 };
@@ -76,14 +77,46 @@
 	g_free(c);
 }
 
+static void
+pool_free(struct h1_pool *p)
+{
+	g_free(p->host);
+	g_free(p);
+}
+
+/* Frees a retired pool after its last call. */
+static void
+call_ended(struct h1_pool *p)
+{
+	struct pconn *pc;
+
+	if (!p->retired)
+		return;
+	while ((pc = TAILQ_FIRST(&p->idle)) != NULL)
+		pconn_free(pc);
+	if (TAILQ_EMPTY(&p->busy))
+		pool_free(p);
+}
+
+void
+h1_pool_retire(struct h1_pool *p)
+{
+	if (p == NULL)
+		return;
+	p->retired = TRUE;
+	call_ended(p);
+}
+
 static void
 call_fail(struct h1_call *c, enum h1_end why, const char *text)
 {
+	struct h1_pool *p = c->pc->pool;
 	struct h1_call_opts o = c->o;
 	gboolean sent = c->pc->connected;
 
 	pconn_free(c->pc);
 	call_free(c);
+	call_ended(p);
 	o.ops->failed(o.ctx, why, sent, text);
 }
 
@@ -99,8 +132,7 @@
 		    pc->call, H1_END_RESET, "the connection pool was closed");
 	while ((pc = TAILQ_FIRST(&p->idle)) != NULL)
 		pconn_free(pc);
-	g_free(p->host);
-	g_free(p);
+	pool_free(p);
 }
 
 static gint64
@@ -210,6 +242,7 @@
 	if (pc->no_reuse || !h1_persistent(pc->conn))
 		pconn_free(pc);
 	call_free(c);
+	call_ended(p);
 	o.ops->complete(o.ctx);
 }
 
@@ -291,10 +324,14 @@
 void
 h1_call_cancel(struct h1_call *c)
 {
+	struct h1_pool *p;
+
 	if (c == NULL)
 		return;
+	p = c->pc->pool;
 	pconn_free(c->pc);
 	call_free(c);
+	call_ended(p);
 }
 
 void
--- a/cmd/ptproxy/adopt.c
+++ b/cmd/ptproxy/adopt.c
@@ -36,7 +36,7 @@
 struct adopt {
 	struct proxy *proxy;
 	struct h1_fetch *fetch;
-	guint timer;
+	guint timer; /* until the next query, or the end of the adoption */
 	guint probes;
 };
 
@@ -65,6 +65,23 @@
 	adopt_query(a);
 }
 
+/* The adopted server has had the time to announce itself. */
+static void
+expire(void *arg)
+{
+	struct adopt *a = arg;
+	struct proxy *p = a->proxy;
+
+	a->timer = 0;
+	a->probes = PROBES_MAX;
+	if (!reg_disown(p->reg))
+		return;
+	pt_event(&p->events, PT_LEVEL_WARNING, "adoption-ended",
+	    "text=\"no announcement\"");
+	backend_update(p->backend);
+	members_announce(p);
+}
+
 static void
 on_response(void *ctx, const struct h1_head *h, const GByteArray *body,
     const GError *err)
@@ -87,6 +104,8 @@
 	if (adopted) {
 		backend_update(p->backend);
 		members_announce(p);
+		a->timer =
+		    sys_after(ADOPT_INTERVALS * p->set->heartbeat, expire, a);
 	} else
 		a->timer = sys_after(RETRY_US, retry, a);
 }
@@ -99,8 +118,9 @@
 	GString *text;
 	GBytes *b;
 
-	if (reg_id(p->reg) != NULL || p->stopping || p->rtab == NULL ||
-	    a->fetch != NULL || a->timer != 0 || a->probes == PROBES_MAX)
+	if (reg_id(p->reg) != NULL || reg_left_before(p->reg) || p->stopping ||
+	    p->rtab == NULL || a->fetch != NULL || a->timer != 0 ||
+	    a->probes == PROBES_MAX)
 		return;
 	s = rtab_service(p->rtab, p->set->service);
 	if (s == NULL)
--- a/cmd/ptproxy/backend.c
+++ b/cmd/ptproxy/backend.c
@@ -45,7 +45,8 @@
 	struct adm *adm;
 	struct sys_ticker *ticker;
 	struct cost *cost;
-	struct h1_pool *pool;
+	struct h1_pool *pool; /* NULL: no connection has been needed */
+	struct plat_addr pool_addr;
 	char *server_id; /* incarnation registered at the last update */
 	LIST_HEAD(run_list, run) runs;
 	gint64 try_at; /* while down: time of the next attempt to connect */
@@ -259,6 +260,14 @@
 	run_fail(r, FAIL_LOST, "deadline", 0);
 }
 
+/* Calls to a former address of the server end on their connections. */
+static void
+retire_pool(struct backend *b)
+{
+	g_clear_pointer(&b->pool, h1_pool_retire);
+	g_clear_pointer(&b->pool_addr.host, g_free);
+}
+
 struct h1_pool *
 backend_pool(struct backend *b)
 {
@@ -268,8 +277,13 @@
 		.connect_ms = CONNECT_BACKEND_MS,
 		.idle_ms = IDLE_BACKEND_MS };
 
-	if (b->pool == NULL)
+	if (b->pool != NULL && !plat_addr_equal(a, &b->pool_addr))
+		retire_pool(b);
+	if (b->pool == NULL) {
 		b->pool = h1_pool_new(&o);
+		b->pool_addr.host = g_strdup(a->host);
+		b->pool_addr.port = a->port;
+	}
 	return b->pool;
 }
 
@@ -388,7 +402,7 @@
 	sys_ticker_free(b->ticker);
 	adm_free(b->adm);
 	cost_free(b->cost);
-	h1_pool_free(b->pool);
+	retire_pool(b);
 	g_free(b->server_id);
 	g_free(b);
 }
--- a/cmd/ptproxy/members.c
+++ b/cmd/ptproxy/members.c
@@ -93,6 +93,37 @@
 	return p->rtab != NULL ? rtab_version(p->rtab) : 0;
 }
 
+/*
+ * The former process of this node announced no slots once its server had told
+ * it that it leaves.  The server tells it only once, so its health is not
+ * believed until it announces itself.
+ */
+static void
+on_former(void *ctx, const struct pt_member *m)
+{
+	struct proxy *p = ctx;
+	gboolean left =
+	    m->slots == 0 && (m->state == PT_DRAINING || m->state == PT_LEFT);
+
+	pt_event(&p->events, PT_LEVEL_INFO, "former",
+	    "state=%d slots=%d left=%d started=%" G_GINT64_FORMAT,
+	    (int)m->state, m->slots, left, m->started);
+	if (!left)
+		return;
+	reg_former_left(p->reg);
+	backend_update(p->backend);
+	members_announce(p);
+}
+
+void
+members_opts(struct proxy *p, struct memb_opts *o)
+{
+	o->position = position;
+	o->changed = on_changed;
+	o->former = on_former;
+	o->ctx = p;
+}
+
 static gint64
 tick(void *arg)
 {
@@ -189,11 +220,9 @@
 		.rand = p->rand,
 		.dgram = &p->dgram_iface,
 		.rpc = &p->rpc,
-		.events = &p->events,
-		.position = position,
-		.changed = on_changed,
-		.ctx = p };
+		.events = &p->events };
 
+	members_opts(p, &o);
 	p->memb = memb_new(&o);
 	add_seeds(p);
 	p->memb_ticker = sys_ticker_new(tick, p);
@@ -243,18 +272,21 @@
 {
 	const char *service = reg_service(p->reg);
 	enum pt_state s = PT_BOOTING;
+	guint slots = (guint)reg_slots(p->reg);
 	gint64 since;
 
 	if (PT_MUTANT(MUTANT_LEAVING_CHOSEN) && service != NULL)
 		s = PT_SERVING;
-	else if (p->draining || reg_leaving(p->reg, &since))
+	else if (reg_leaving(p->reg, &since) || reg_left_before(p->reg)) {
+		s = PT_DRAINING;
+		slots = 0; /* see on_former() */
+	} else if (p->draining)
 		s = PT_DRAINING;
 	else if (!reg_serving(p->reg) || reg_silent(p->reg))
 		s = PT_BOOTING;
 	else
 		s = backend_up(p->backend) ? PT_SERVING : PT_WARMING;
-	memb_announce(p->memb, s, service != NULL ? service : "",
-	    (guint)reg_slots(p->reg));
+	memb_announce(p->memb, s, service != NULL ? service : "", slots);
 	mark_dirty(p, service);
 	sys_ticker_kick(p->memb_ticker);
 }
--- a/cmd/ptproxy/proxy.c
+++ b/cmd/ptproxy/proxy.c
@@ -87,27 +87,6 @@
 
 /* ---- settings that change ---- */
 
-static gboolean
-same_addr(const struct plat_addr *a, const struct plat_addr *b)
-{
-	return a->port == b->port && strcmp(a->host, b->host) == 0;
-}
-
-/*
- * Warns if the instance's name, or the address for callers or for other nodes,
- * changed: such a change needs a restart.
- */
-static void
-check_listening(struct proxy *p, const struct plat_settings *s)
-{
-	if (!same_addr(&s->outbound, &p->set->outbound) ||
-	    !same_addr(&s->peer, &p->set->peer) ||
-	    strcmp(s->instance, p->set->instance) != 0)
-		pt_event(&p->events, PT_LEVEL_WARNING, "reload-partial",
-		    "text=\"the name or a listening address changed; restart "
-		    "the process\"");
-}
-
 void
 proxy_reload(struct proxy *p)
 {
@@ -122,7 +101,10 @@
 		g_error_free(err);
 		return;
 	}
-	check_listening(p, s);
+	if (!plat_settings_keep(s, p->set))
+		pt_event(&p->events, PT_LEVEL_WARNING, "reload-partial",
+		    "text=\"a name, a listening address or the store's address "
+		    "changed; restart the process\"");
 	pt_event(&p->events, PT_LEVEL_INFO, "reload",
 	    "service=%s seeds=%u backend=%s:%u", s->service, s->n_seeds,
 	    s->backend.host, s->backend.port);
--- a/cmd/ptproxy/proxy.h
+++ b/cmd/ptproxy/proxy.h
@@ -155,6 +155,12 @@
 
 /* ---- adopt.c: a backend server that was running before this process ---- */
 
+/*
+ * Intervals of announcements after which an adopted server that has not
+ * announced itself is dropped.
+ */
+#define ADOPT_INTERVALS 2
+
 struct adopt;
 struct adopt *adopt_new(struct proxy *);
 void adopt_free(struct adopt *);
@@ -216,6 +222,8 @@
 /* ---- members.c: membership, and the upstreams of each service ---- */
 
 gboolean members_start(struct proxy *, GError **);
+/* Sets the callbacks and their context. */
+void members_opts(struct proxy *, struct memb_opts *);
 void members_stop(struct proxy *);
 /* Announces the state of this node and its backend server. */
 void members_announce(struct proxy *);
--- a/core/memb/memb.h
+++ b/core/memb/memb.h
@@ -44,6 +44,11 @@
 	/* A member was added or changed; "removed": it is being removed. */
 	void (*changed)(
 	    void *ctx, const struct memb_member *, gboolean removed);
+	/*
+	 * Another node sent what a former process of this instance announced;
+	 * called again only for a newer announcement.  May be NULL.
+	 */
+	void (*former)(void *ctx, const struct pt_member *);
 	void *ctx;
 };
 
@@ -252,6 +257,9 @@
 	gboolean joined;
 	gboolean leaving;
 	struct memb_entry *self;
+	/* Newest announcement passed to former() of the options. */
+	gint64 former_incarnation;
+	guint32 former_seq;
 	GHashTable *by_name;
 	GHashTable *domains;
 	GHashTable *services;
--- a/core/memb/table.c
+++ b/core/memb/table.c
@@ -376,6 +376,18 @@
 	       (guint)u->health <= PT_DEAD && (guint)u->state <= PT_LEFT;
 }
 
+static void
+report_former(struct memb *m, const struct pt_member *u)
+{
+	if (m->o.former == NULL || u->incarnation < m->former_incarnation ||
+	    (u->incarnation == m->former_incarnation &&
+		u->seq <= m->former_seq))
+		return;
+	m->former_incarnation = u->incarnation;
+	m->former_seq = u->seq;
+	m->o.former(m->o.ctx, u);
+}
+
 /* Refutes a wrong entry of this instance with a higher incarnation. */
 static void
 merge_self(struct memb *m, const struct pt_member *u)
@@ -383,6 +395,8 @@
 	struct pt_member me;
 	struct memb_entry *e = m->self;
 
+	if (u->started != e->m.started)
+		report_former(m, u);
 	if (u->incarnation < e->m.incarnation)
 		return;
 	if (u->incarnation == e->m.incarnation && u->health == PT_ALIVE &&
--- a/core/reg/reg.c
+++ b/core/reg/reg.c
@@ -27,6 +27,7 @@
 	int slots;
 	gboolean leaving; /* draining or departed */
 	gboolean departed;
+	gboolean former_left; /* as recorded by reg_former_left() */
 	struct departure departures[DEPARTURES_MAX]; /* ring buffer */
 	guint next_departure; /* index of the next one to replace */
 };
@@ -87,6 +88,7 @@
 apply(struct reg *r, const struct reg_announce *b, gint64 now)
 {
 	r->sequence = b->sequence;
+	r->former_left = FALSE;
 	r->slots = b->slots;
 	r->announced_at = now;
 	r->cold_until = b->cold > 0 ? now + b->cold : 0;
@@ -156,12 +158,35 @@
 		.slots = slots,
 		.state = REG_SERVING };
 
-	if (r->id != NULL || has_left(r, &b))
+	if (r->id != NULL || r->former_left || has_left(r, &b))
 		return FALSE;
 	register_new(r, &b, pt_now(&r->o.clock));
 	return TRUE;
 }
 
+static void
+unregister(struct reg *r)
+{
+	g_clear_pointer(&r->id, g_free);
+	g_clear_pointer(&r->announced_service, g_free);
+}
+
+gboolean
+reg_disown(struct reg *r)
+{
+	if (r->id == NULL || r->sequence >= 0 || r->departed)
+		return FALSE;
+	unregister(r);
+	return TRUE;
+}
+
+void
+reg_former_left(struct reg *r)
+{
+	if (r->id == NULL || reg_disown(r))
+		r->former_left = TRUE;
+}
+
 gboolean
 reg_leave(struct reg *r, const char *id, gint64 wall)
 {
@@ -185,8 +210,7 @@
 	if (strcmp(address, r->address) != 0) {
 		g_free(r->address);
 		r->address = g_strdup(address);
-		g_clear_pointer(&r->id, g_free);
-		g_clear_pointer(&r->announced_service, g_free);
+		unregister(r);
 	}
 	g_free(r->service);
 	r->service = g_strdup(service);
@@ -207,6 +231,12 @@
 	return TRUE;
 }
 
+gboolean
+reg_left_before(const struct reg *r)
+{
+	return r->former_left;
+}
+
 gboolean
 reg_silent(const struct reg *r)
 {
--- a/core/reg/reg.h
+++ b/core/reg/reg.h
@@ -47,6 +47,16 @@
  * server is registered already, or this one has left.
  */
 gboolean reg_adopt(struct reg *, const char *id, int slots);
+/*
+ * Removes an adopted server that has not announced itself since.  FALSE: there
+ * is none.
+ */
+gboolean reg_disown(struct reg *);
+/*
+ * Records that a former process of this node acknowledged the leave of its
+ * server: none is adopted until a server announces itself.
+ */
+void reg_former_left(struct reg *);
 /*
  * Records that a server has left.  For a server that is not registered, every
  * process started up to "wall", the time of day in Unix ms, counts as left.
@@ -61,6 +71,8 @@
 gboolean reg_serving(const struct reg *);
 /* TRUE if the registered server is draining or has left, "since" that time. */
 gboolean reg_leaving(const struct reg *, gint64 *since);
+/* TRUE after reg_former_left() until a server announces itself. */
+gboolean reg_left_before(const struct reg *);
 /* TRUE if a server is registered whose announcements have ceased. */
 gboolean reg_silent(const struct reg *);
 const char *reg_id(const struct reg *); /* NULL: none registered */
--- a/test/proxy_test.c
+++ b/test/proxy_test.c
@@ -5,10 +5,12 @@
  */
 #include <gio/gio.h>
 #include <check.h>
+#include <glib/gstdio.h>
 #include <rpc/rpc.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
+#include <unistd.h>
 
 #include "pt.h"
 #include "port.h"
@@ -27,6 +29,10 @@
 #define HOST "127.0.0.1"
 #define FUZZ_RUNS 20000
 #define FUZZ_SEED 9
+/* Start time of the node in the tests of adoption. */
+#define STARTED 1000
+/* Interval of announcements in tests that wait for it. */
+#define HEARTBEAT (20 * G_TIME_SPAN_MILLISECOND)
 
 static struct h1_head *
 head_new(const char *name, const char *value)
@@ -306,6 +312,15 @@
 
 static const struct h1_server_ops server_ops = { .request = server_request };
 
+static void
+add_attempt_id(struct fwd *fwd)
+{
+	struct h1_field id = { g_strdup("X-Primrosetide-Attempt-Id"),
+		g_strdup(fwd->attempt_id) };
+
+	g_array_append_val(fwd->head->fields, id);
+}
+
 /* Sends 10 requests in sequence to a server whose responses all fail. */
 static void
 submit_failing(const char *field, enum failure_kind want)
@@ -323,7 +338,6 @@
 		.state = REG_SERVING };
 	struct plat_settings set = { 0 };
 	struct proxy p = { .clock = sys_clock, .set = &set };
-	struct h1_field id;
 	struct fwd *fwd;
 	int i;
 
@@ -339,9 +353,7 @@
 	for (i = 0; i < 10; i++) {
 		failures = 0;
 		fwd = fwd_new(FALSE);
-		id.name = g_strdup("X-Primrosetide-Attempt-Id");
-		id.value = g_strdup(fwd->attempt_id);
-		g_array_append_val(fwd->head->fields, id);
+		add_attempt_id(fwd);
 		backend_submit(p.backend, fwd, &ops, NULL);
 		UNTIL(failures == 1);
 		ck_assert_int_eq(kind, want);
@@ -424,20 +436,88 @@
 	return t;
 }
 
+/* A node beside a server that answers queries of its health path. */
+static struct {
+	struct h1_server *server;
+	struct plat_settings set;
+	struct proxy p;
+	struct pt_dgram dgram_iface;
+} node;
+
+/* Starts the node; "heartbeat": interval of the server's announcements. */
+static struct proxy *
+node_start(int status, const char *id, gint64 heartbeat)
+{
+	struct h1_server_opts o = { .host = HOST, .ops = &health_ops };
+	struct reg_opts ro = { .clock = sys_clock,
+		.address = "",
+		.service = "svc",
+		.heartbeat = heartbeat };
+	struct pt_member self = { .instance = (char *)(guintptr) "self",
+		.incarnation = STARTED,
+		.started = STARTED,
+		.host = (char *)(guintptr)HOST,
+		.rpc_port = 1,
+		.gossip_port = 1,
+		.domain = (char *)(guintptr) "z",
+		.region = (char *)(guintptr) "r",
+		.service = (char *)(guintptr) "" };
+	struct proxy *p = &node.p;
+	struct memb_opts mo = { .self = &self,
+		.clock = &p->clock,
+		.dgram = &node.dgram_iface,
+		.rpc = &p->rpc,
+		.events = &p->events };
+
+	memset(&node, 0, sizeof(node));
+	node.server = h1_server_new(&o, NULL);
+	node.dgram_iface.send = no_dgram;
+	node.set.service = (char *)(guintptr) "svc";
+	node.set.heartbeat = heartbeat;
+	node.set.backend.host = (char *)(guintptr)HOST;
+	node.set.backend.port = h1_server_port(node.server);
+	p->clock = sys_clock;
+	p->set = &node.set;
+	p->reg = reg_new(&ro);
+	p->stats = stats_new();
+	p->budget = budget_new();
+	mo.rand = p->rand = g_rand_new_with_seed(1);
+	p->lb = lb_new(&(struct lb_opts){ .clock = sys_clock,
+	    .rand = p->rand,
+	    .domain = "z",
+	    .events = &p->events });
+	members_opts(p, &mo);
+	p->memb = memb_new(&mo);
+	p->memb_ticker = sys_ticker_new(no_tick, NULL);
+	p->dirty_services =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	p->backend = backend_new(p);
+	p->adopt = adopt_new(p);
+	p->rtab = table_new();
+	health.status = status;
+	health.id = id;
+	health.requests = 0;
+	return p;
+}
+
 static void
-parts_free(struct proxy *p)
+node_stop(void)
 {
+	struct proxy *p = &node.p;
+
 	adopt_free(p->adopt);
 	backend_free(p->backend);
 	sys_cancel(&p->rebuild_timer);
 	g_hash_table_unref(p->dirty_services);
 	sys_ticker_free(p->memb_ticker);
 	memb_free(p->memb);
+	lb_free(p->lb);
 	g_rand_free(p->rand);
 	rtab_unref(p->rtab);
 	reg_free(p->reg);
 	stats_free(p->stats);
 	budget_free(p->budget);
+	h1_server_free(node.server);
 }
 
 /*
@@ -448,54 +528,19 @@
 static gboolean
 adopts(int status, const char *id, gboolean left)
 {
-	struct h1_server_opts o = { .host = HOST, .ops = &health_ops };
-	struct h1_server *s = h1_server_new(&o, NULL);
-	struct reg_opts ro = { .clock = sys_clock,
-		.address = "",
-		.service = "svc",
-		.heartbeat = G_TIME_SPAN_MINUTE };
-	struct plat_settings set = { .service = (char *)(guintptr) "svc" };
-	struct proxy p = { .clock = sys_clock, .set = &set };
-	struct pt_member self = { .instance = (char *)(guintptr) "self",
-		.host = (char *)(guintptr)HOST,
-		.domain = (char *)(guintptr) "z",
-		.region = (char *)(guintptr) "r",
-		.service = (char *)(guintptr) "" };
-	struct pt_dgram dgram_iface = { .send = no_dgram };
-	struct memb_opts mo = { .self = &self,
-		.clock = &p.clock,
-		.dgram = &dgram_iface,
-		.rpc = &p.rpc,
-		.events = &p.events };
+	struct proxy *p = node_start(status, id, G_TIME_SPAN_MINUTE);
 	gboolean adopted;
 
-	set.backend.host = (char *)(guintptr)HOST;
-	set.backend.port = h1_server_port(s);
-	p.reg = reg_new(&ro);
-	p.stats = stats_new();
-	p.budget = budget_new();
-	mo.rand = p.rand = g_rand_new_with_seed(1);
-	p.memb = memb_new(&mo);
-	p.memb_ticker = sys_ticker_new(no_tick, NULL);
-	p.dirty_services =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	p.backend = backend_new(&p);
-	p.adopt = adopt_new(&p);
-	p.rtab = table_new();
-	health.status = status;
-	health.id = id;
-	health.requests = 0;
 	if (left)
 		reg_leave(
-		    p.reg, id, g_get_real_time() / G_TIME_SPAN_MILLISECOND);
-	adopt_query(p.adopt);
+		    p->reg, id, g_get_real_time() / G_TIME_SPAN_MILLISECOND);
+	adopt_query(p->adopt);
 	/* The node sends a second query only if the first found no server. */
-	UNTIL(reg_serving(p.reg) || health.requests == 2);
-	adopted = reg_serving(p.reg);
+	UNTIL(reg_serving(p->reg) || health.requests == 2);
+	adopted = reg_serving(p->reg);
 	if (adopted)
-		ck_assert_str_eq(reg_id(p.reg), id);
-	parts_free(&p);
-	h1_server_free(s);
+		ck_assert_str_eq(reg_id(p->reg), id);
+	node_stop();
 	return adopted;
 }
 
@@ -513,6 +558,199 @@
 }
 END_TEST
 
+/*
+ * Guards against requests to an adopted server that announces nothing: it told
+ * the former process that it leaves, and its health path says otherwise.  A
+ * server that announces itself stays.
+ */
+START_TEST(adoption_without_announcement_ends)
+{
+	struct proxy *p = node_start(200, "i-1", HEARTBEAT);
+	struct reg_announce a = { .id = "i-1",
+		.service = "svc",
+		.address = "",
+		.slots = 6,
+		.state = REG_SERVING };
+
+	adopt_query(p->adopt);
+	UNTIL(reg_serving(p->reg));
+	UNTIL(!reg_serving(p->reg));
+	ck_assert_ptr_null(reg_id(p->reg));
+	ck_assert_int_ne(memb_self(p->memb)->state, PT_SERVING);
+	/* The health path is not believed a second time. */
+	adopt_query(p->adopt);
+	LOOP_IDLE();
+	ck_assert_int_eq(health.requests, 1);
+	node_stop();
+
+	p = node_start(200, "i-1", HEARTBEAT);
+	adopt_query(p->adopt);
+	UNTIL(reg_serving(p->reg));
+	ck_assert_int_eq(reg_announce(p->reg, &a), REG_CHANGED);
+	g_usleep(ADOPT_INTERVALS * HEARTBEAT);
+	LOOP_IDLE();
+	ck_assert(reg_serving(p->reg));
+	node_stop();
+}
+END_TEST
+
+/* Delivers what another node holds of this node's former process. */
+static void
+report_former(struct proxy *p, gint64 started, enum pt_state state, int slots)
+{
+	struct pt_gossip g = { .proto = PT_PROTO,
+		.kind = PT_SPREAD,
+		.from = (char *)(guintptr) "other",
+		.target = (char *)(guintptr) "" };
+	struct pt_member m = { .instance = (char *)(guintptr) "self",
+		.incarnation = started,
+		.started = started,
+		.seq = 7,
+		.state = state,
+		.host = (char *)(guintptr)HOST,
+		.rpc_port = 1,
+		.gossip_port = 1,
+		.http_port = 1,
+		.domain = (char *)(guintptr) "z",
+		.region = (char *)(guintptr) "r",
+		.service = (char *)(guintptr) "svc",
+		.slots = slots };
+	GBytes *b;
+
+	g.updates.updates_val = &m;
+	g.updates.updates_len = 1;
+	b = pt_encode((xdrproc_t)xdr_pt_gossip, &g);
+	memb_input(p->memb, g_bytes_get_data(b, NULL), g_bytes_get_size(b));
+	g_bytes_unref(b);
+}
+
+/*
+ * Guards against requests to a server that told the former process of this node
+ * that it leaves: other nodes still hold that announcement.  A former process
+ * that itself stopped, or that was older than another one, says nothing of the
+ * server.
+ */
+START_TEST(former_process_tells_that_its_server_left)
+{
+	static const struct {
+		enum pt_state state;
+		int slots;
+		gboolean adopted;
+	} cases[] = { { PT_DRAINING, 0, FALSE }, { PT_LEFT, 0, FALSE },
+		{ PT_DRAINING, 4, TRUE }, { PT_LEFT, 4, TRUE },
+		{ PT_SERVING, 4, TRUE }, { PT_BOOTING, 0, TRUE } };
+	struct proxy *p;
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		/* Heard after the adoption. */
+		p = node_start(200, "i-1", G_TIME_SPAN_MINUTE);
+		adopt_query(p->adopt);
+		UNTIL(reg_serving(p->reg));
+		report_former(p, STARTED - 5, cases[i].state, cases[i].slots);
+		ck_assert_int_eq(reg_serving(p->reg), cases[i].adopted);
+		/* The next process of this instance has to know it, too. */
+		ck_assert_int_eq(memb_self(p->memb)->state == PT_DRAINING,
+		    !cases[i].adopted);
+		node_stop();
+
+		/* Heard before it. */
+		p = node_start(200, "i-1", G_TIME_SPAN_MINUTE);
+		report_former(p, STARTED - 5, cases[i].state, cases[i].slots);
+		adopt_query(p->adopt);
+		if (cases[i].adopted)
+			UNTIL(reg_serving(p->reg));
+		else
+			LOOP_IDLE();
+		ck_assert_int_eq(health.requests, cases[i].adopted);
+		node_stop();
+	}
+	p = node_start(200, "i-1", G_TIME_SPAN_MINUTE);
+	report_former(p, STARTED - 5, PT_SERVING, 4);
+	report_former(p, STARTED - 9, PT_DRAINING, 0);
+	adopt_query(p->adopt);
+	UNTIL(reg_serving(p->reg));
+	node_stop();
+}
+END_TEST
+
+/* ---- changed settings ---- */
+
+/* Writes a settings file with these values and names it in the environment. */
+static void
+write_settings(const char *path, const char *instance, guint port)
+{
+	char *text = g_strdup_printf("nodeName=%s\n"
+				     "zone=z\n"
+				     "region=r\n"
+				     "service=svc\n"
+				     "ip=" HOST "\n"
+				     "appAddr=" HOST ":%u\n"
+				     "listenAddrs.inbound=" HOST ":1\n"
+				     "listenAddrs.outbound=" HOST ":2\n"
+				     "listenAddrs.ready=" HOST ":3\n"
+				     "listenAddrs.control=" HOST ":4\n"
+				     "portRange=7600,7615\n"
+				     "heartbeatS=1.5\n"
+				     "platform.address=" HOST ":9\n",
+	    instance, port);
+
+	ck_assert(g_file_set_contents(path, text, -1, NULL));
+	g_setenv("PRIMROSETIDE_BOOT", path, TRUE);
+	g_free(text);
+}
+
+/*
+ * Guards against requests that a node sends to the former address of its
+ * backend server after the settings have changed, and against a node that takes
+ * another instance's name while its membership entry keeps the old one: other
+ * nodes' requests would be refused.
+ */
+START_TEST(reload_moves_the_backend_server)
+{
+	struct h1_server_opts o = { .host = HOST, .ops = &server_ops };
+	char *path = g_strdup("/tmp/proxy_test.XXXXXX"), *address;
+	struct proxy *p = node_start(200, "i-1", G_TIME_SPAN_MINUTE);
+	struct reg_announce a = {
+		.id = "i-2", .service = "svc", .slots = 4, .state = REG_SERVING
+	};
+	struct h1_server *s = h1_server_new(&o, NULL);
+	struct fwd *fwd;
+	int fd = g_mkstemp(path);
+
+	ck_assert_int_ge(fd, 0);
+	close(fd);
+	write_settings(path, "self", node.set.backend.port);
+	p->set = plat_settings_read(path, NULL);
+	ck_assert_ptr_nonnull(p->set);
+	adopt_query(p->adopt);
+	UNTIL(reg_serving(p->reg));
+	memset(&server, 0, sizeof(server));
+	write_settings(path, "another", h1_server_port(s));
+	proxy_reload(p);
+	ck_assert_str_eq(p->set->instance, "self");
+	ck_assert(!reg_serving(p->reg));
+	address = g_strdup_printf(HOST ":%u", h1_server_port(s));
+	a.address = address;
+	ck_assert_int_eq(reg_announce(p->reg, &a), REG_NEW);
+	backend_update(p->backend);
+	failures = 0;
+	fwd = fwd_new(FALSE);
+	add_attempt_id(fwd);
+	backend_submit(p->backend, fwd, &ops, NULL);
+	UNTIL(failures == 1);
+	ck_assert_int_eq(server.requests, 1);
+	fwd_unref(fwd);
+	h1_server_free(s);
+	plat_settings_free(p->set);
+	p->set = &node.set;
+	node_stop();
+	unlink(path);
+	g_free(path);
+	g_free(address);
+}
+END_TEST
+
 /* ---- stop.c ---- */
 
 /*
@@ -585,6 +823,9 @@
 	tcase_add_test(t, refusals_reuse_the_connection);
 	tcase_add_test(t, unsigned_successes_close_the_connection);
 	tcase_add_test(t, running_server_is_adopted);
+	tcase_add_test(t, adoption_without_announcement_ends);
+	tcase_add_test(t, former_process_tells_that_its_server_left);
+	tcase_add_test(t, reload_moves_the_backend_server);
 	tcase_add_test(t, drain_delay_leaves_time_to_finish);
 	suite_add_tcase(suite, t);
 	return suite_run(suite);
