Read the store by failure domain; have others read for a reader that lost it

A reader without the store asks random nodes to read in its place, and its long poll is 4 s, so that silence shows sooner. Ruled out: one reader a domain (nothing left when it falls silent); every node retrying while the store is down.

--- a/cmd/ptproxy/discovery.c
+++ b/cmd/ptproxy/discovery.c
@@ -17,22 +17,32 @@
 
 /* Time-out of a call to the store. */
 #define CALL_MS 1500
-/* Interval at which a node that knows no other reads the nodes' entries. */
-#define ALONE_US (1 * G_TIME_SPAN_SECOND)
 /*
- * Number of nodes of a failure domain that read the entries often, on behalf of
- * the domain.
+ * Number of nodes of a failure domain that keep an entry in the store.  The
+ * others are found through these.
  */
+#define N_WRITERS 3
+/* Number of nodes of a failure domain that read the entries regularly. */
 #define N_READERS 2
 /* Interval at which each of these reads the entries. */
 #define READER_US (20 * G_TIME_SPAN_SECOND)
-/* Interval at which every other node reads the entries. */
-#define NONREADER_US (120 * G_TIME_SPAN_SECOND)
+/*
+ * Interval at which a node that knows no other reads the entries, and at which
+ * each node checks whether it has to read or write.
+ */
+#define CHECK_US (1 * G_TIME_SPAN_SECOND)
+/* Time for the seeds of the settings to respond before the store is read. */
+#define SEEDS_US (500 * G_TIME_SPAN_MILLISECOND)
+/*
+ * Checks in a row at which a node has to belong to the writers: while a
+ * deployment starts, every node knows only a part of the others.
+ */
+#define WRITER_CHECKS 2
 /* Most pages in one reading: they hold more addresses than a join needs. */
 #define PAGES_MAX 4
 
 /*
- * Interval at which this node writes its entry until a write is acknowledged.
+ * Interval at which a writer writes its entry until a write is acknowledged.
  * The next write does not wait for an earlier one: a store that did not
  * respond may recover long before the call times out, and entries have to be
  * in the store within 2 s of its recovery.
@@ -41,21 +51,16 @@
 
 struct discovery {
 	struct proxy *proxy;
-	guint read_timer, write_timer;
+	guint check_timer, write_timer;
 	guint n_pages; /* of the current reading */
+	gboolean reading;
+	gint64 read_at; /* start of the last reading, 0: none */
+	guint writer_checks; /* as which it counted as a writer, in a row */
+	gboolean wrote; /* this process has written its entry */
 };
 
 static void read_page(struct discovery *, const char *after);
-
-static void
-read_entries(void *arg)
-{
-	struct discovery *d = arg;
-
-	d->read_timer = 0;
-	d->n_pages = 0;
-	read_page(d, NULL);
-}
+static void write_self(void *);
 
 /* Adds jitter, so that nodes that started together do not call together. */
 static gint64
@@ -67,17 +72,45 @@
 }
 
 static void
-schedule(struct discovery *d)
+read_entries(struct discovery *d)
 {
+	d->reading = TRUE;
+	d->read_at = pt_now(&d->proxy->clock);
+	d->n_pages = 0;
+	read_page(d, NULL);
+}
+
+static void
+write_once(struct discovery *d)
+{
+	if (d->wrote)
+		return;
+	d->wrote = TRUE;
+	write_self(d);
+}
+
+/*
+ * A node that knows no other reads the entries and, if they lead to none,
+ * writes its own.  In a mesh a few nodes of each failure domain do both.
+ */
+static void
+check(void *arg)
+{
+	struct discovery *d = arg;
 	struct memb *memb = d->proxy->memb;
-	gint64 t = NONREADER_US;
-
-	if (memb_count(memb) <= 1)
-		t = ALONE_US;
-	else if (memb_elected(memb, N_READERS))
-		t = READER_US;
-	if (d->read_timer == 0)
-		d->read_timer = sys_after(jitter(d, t), read_entries, d);
+	gint64 age = pt_now(&d->proxy->clock) - d->read_at;
+	gboolean alone = memb_count(memb) <= 1;
+
+	d->check_timer = sys_after(jitter(d, CHECK_US), check, d);
+	if (memb_elected(memb, N_WRITERS))
+		d->writer_checks++;
+	else
+		d->writer_checks = 0;
+	if (d->writer_checks >= WRITER_CHECKS)
+		write_once(d);
+	if (!d->reading &&
+	    (alone || (memb_elected(memb, N_READERS) && age >= READER_US)))
+		read_entries(d);
 }
 
 static void
@@ -151,7 +184,9 @@
 		read_page(d, r->after);
 		return;
 	}
-	schedule(d);
+	d->reading = FALSE;
+	if (r != NULL && r->records->len == 0 && d->n_pages == 0)
+		write_once(d);
 }
 
 static void
@@ -167,8 +202,10 @@
 	struct discovery *d = g_new0(struct discovery, 1);
 
 	d->proxy = p;
-	write_self(d);
-	read_entries(d);
+	if (p->set->n_seeds > 0)
+		d->check_timer = sys_after(jitter(d, SEEDS_US), check, d);
+	else
+		check(d);
 	return d;
 }
 
@@ -177,7 +214,7 @@
 {
 	if (d == NULL)
 		return;
-	sys_cancel(&d->read_timer);
+	sys_cancel(&d->check_timer);
 	sys_cancel(&d->write_timer);
 	g_free(d);
 }
@@ -185,8 +222,10 @@
 void
 discovery_leave(struct discovery *d)
 {
-	sys_cancel(&d->read_timer);
+	sys_cancel(&d->check_timer);
 	sys_cancel(&d->write_timer);
+	if (!d->wrote)
+		return;
 	plat_store_put(d->proxy->store, plat_topic_nodes(),
 	    d->proxy->set->instance, NULL, CALL_MS, NULL, NULL);
 }
--- a/cmd/ptproxy/members.c
+++ b/cmd/ptproxy/members.c
@@ -115,12 +115,21 @@
 	members_announce(p);
 }
 
+static void
+on_take_over(void *ctx)
+{
+	struct proxy *p = ctx;
+
+	source_take_over(p->source);
+}
+
 void
 members_opts(struct proxy *p, struct memb_opts *o)
 {
 	o->position = position;
 	o->changed = on_changed;
 	o->former = on_former;
+	o->take_over = on_take_over;
 	o->ctx = p;
 }
 
--- a/cmd/ptproxy/proxy.c
+++ b/cmd/ptproxy/proxy.c
@@ -195,8 +195,10 @@
 		return FALSE;
 	p->second_timer = sys_after(SECOND_US, each_second, p);
 	pt_event(&p->events, PT_LEVEL_INFO, "proxy-started",
-	    "domain=%s host=%s service=%s started=%" G_GINT64_FORMAT,
-	    p->set->domain, p->set->peer.host, p->set->service, p->started);
+	    "domain=%s host=%s service=%s seeds=%u first=%d "
+	    "started=%" G_GINT64_FORMAT,
+	    p->set->domain, p->set->peer.host, p->set->service, p->set->n_seeds,
+	    p->set->first_start, p->started);
 	return TRUE;
 }
 
--- a/cmd/ptproxy/proxy.h
+++ b/cmd/ptproxy/proxy.h
@@ -255,6 +255,11 @@
 gint64 source_fetch_delay(gint64 since, gboolean reads, double spread);
 /* Called each second: this node may have become a reader of the store. */
 void source_tick(struct source *);
+/*
+ * Reads the store for a while: a reader that cannot reach it has asked this
+ * node to.
+ */
+void source_take_over(struct source *);
 void source_table(
     struct source *, const struct pt_table_args *, struct pt_table_res *);
 
--- a/cmd/ptproxy/source.c
+++ b/cmd/ptproxy/source.c
@@ -19,7 +19,7 @@
  * Longest time that the store may hold a read open; other nodes report new
  * versions sooner.
  */
-#define WAIT_MS 8000
+#define WAIT_MS 4000
 /* A read of the next records times out this long after the end of its wait. */
 #define READ_MARGIN_MS 1000
 /* Time-out of a read of the newest record. */
@@ -29,10 +29,27 @@
  * polls and report them to the others.
  */
 #define N_READERS 2
-/* Interval at which the other nodes read the store. */
+/*
+ * Each other node reads the store at this interval, or at NONREADER_GAP_US for
+ * each node of its failure domain if that is longer: the calls to the store
+ * grow with the failure domains, not with the nodes.
+ */
 #define NONREADER_US (20 * G_TIME_SPAN_SECOND)
+#define NONREADER_GAP_US (3 * G_TIME_SPAN_SECOND)
+/*
+ * At the first start of a deployment a node gives the readers this long before
+ * it reads the store itself.
+ */
+#define FIRST_READ_US (2500 * G_TIME_SPAN_MILLISECOND)
+/* Interval at which a node without a configuration reads the store. */
+#define NO_CONFIG_US (2 * G_TIME_SPAN_SECOND)
 /* Number of nodes that a new version is reported to; they report it further. */
 #define NOTIFY_MAX 8
+/*
+ * A node reads for this long in the place of a reader that cannot reach the
+ * store; the reader asks again each second.
+ */
+#define TAKE_OVER_US (5 * G_TIME_SPAN_SECOND)
 /* Delay between two reads, so that quick changes are read together. */
 #define READ_GAP_US (600 * G_TIME_SPAN_MILLISECOND)
 /* Backoff after a failed call: doubles up to the maximum. */
@@ -60,8 +77,8 @@
 	guint failures;
 	gboolean fetching, closed;
 	gboolean reading; /* a call to the store is in progress */
-	/* Not one of the N_READERS: the next read is in about NONREADER_US. */
-	gboolean nonreader;
+	gboolean nonreader; /* not one of the N_READERS */
+	gint64 take_over_until; /* reads in the place of a reader */
 	guint empty_fetches; /* fetches in a row without a newer version */
 	gboolean store_down; /* the last call to the store failed */
 	guint refs;
@@ -158,6 +175,8 @@
 	s->empty_fetches = 0;
 	s->applied_at = pt_now(&p->clock);
 	memb_send_position(p->memb, NOTIFY_MAX);
+	if (packed == NULL)
+		memb_send_position_abroad(p->memb);
 	return TRUE;
 }
 
@@ -178,19 +197,57 @@
 static gboolean
 is_reader(const struct source *s)
 {
-	return s->proxy->rtab == NULL ||
-	       memb_elected(s->proxy->memb, N_READERS);
+	return memb_elected(s->proxy->memb, N_READERS) ||
+	       pt_now(&s->proxy->clock) < s->take_over_until;
+}
+
+/* A node that has become a reader reads the store at once. */
+static void
+check_reader(struct source *s)
+{
+	if (s->reading || !s->nonreader || !is_reader(s))
+		return;
+	s->nonreader = FALSE;
+	sys_cancel(&s->timer);
+	read_store(s);
 }
 
 void
 source_tick(struct source *s)
 {
-	/* A node that has become a reader reads the store at once. */
-	if (!s->reading && s->nonreader && is_reader(s)) {
-		s->nonreader = FALSE;
-		sys_cancel(&s->timer);
-		read_store(s);
-	}
+	check_reader(s);
+	if (s->store_down && memb_elected(s->proxy->memb, N_READERS))
+		memb_ask_take_over(s->proxy->memb);
+}
+
+void
+source_take_over(struct source *s)
+{
+	if (s == NULL)
+		return;
+	s->take_over_until = pt_now(&s->proxy->clock) + TAKE_OVER_US;
+	check_reader(s);
+}
+
+/* Adds jitter, so that nodes that started together do not call together. */
+static gint64
+jitter(const struct source *s, gint64 us)
+{
+	return (
+	    gint64)((double)us * (0.75 + g_rand_double(s->proxy->rand) / 2));
+}
+
+static gint64
+nonreader_delay(const struct source *s)
+{
+	struct memb *memb = s->proxy->memb;
+	const char *domain = s->proxy->set->domain;
+	const struct memb_member *m = NULL;
+	guint n = 0;
+
+	while ((m = memb_next_in_domain(memb, domain, m)) != NULL)
+		n += memb_present(m);
+	return jitter(s, MAX(NONREADER_US, n * NONREADER_GAP_US));
 }
 
 /* Delay of the next read of the store after a successful one. */
@@ -198,9 +255,10 @@
 read_delay(struct source *s, const struct plat_records *r)
 {
 	s->nonreader = !is_reader(s);
+	if (s->nonreader && s->proxy->rtab == NULL)
+		return jitter(s, NO_CONFIG_US);
 	if (s->nonreader)
-		return (gint64)((double)NONREADER_US *
-				(0.75 + g_rand_double(s->proxy->rand) / 2));
+		return nonreader_delay(s);
 	return s->next >= 0 && r->records->len > 0 ? READ_GAP_US : 0;
 }
 
@@ -214,10 +272,18 @@
 	if (!s->store_down)
 		pt_event(&s->proxy->events, PT_LEVEL_WARNING, "store-lost",
 		    "text=\"%s\"", err->message);
+	if (!s->store_down && memb_elected(s->proxy->memb, N_READERS))
+		memb_ask_take_over(s->proxy->memb);
 	s->store_down = TRUE;
-	s->timer = sys_after(
-	    (gint64)((double)t * (0.5 + g_rand_double(s->proxy->rand) / 2)),
-	    read_store, s);
+	s->take_over_until = 0;
+	/* The readers find out when the store is back. */
+	s->nonreader = s->proxy->rtab != NULL && !is_reader(s);
+	if (s->nonreader)
+		t = nonreader_delay(s);
+	else
+		t = (gint64)((double)t *
+			     (0.5 + g_rand_double(s->proxy->rand) / 2));
+	s->timer = sys_after(t, read_store, s);
 }
 
 static void
@@ -419,7 +485,11 @@
 	s->proxy = p;
 	s->refs = 1;
 	s->next = -1;
-	read_newest(s);
+	s->nonreader = p->set->first_start && p->set->n_seeds > 0;
+	if (s->nonreader)
+		s->timer = sys_after(jitter(s, FIRST_READ_US), read_store, s);
+	else
+		read_newest(s);
 	return s;
 }
 
--- a/core/memb/memb.c
+++ b/core/memb/memb.c
@@ -120,6 +120,9 @@
 		memb_handle_ping_req(m, g);
 		break;
 	case PT_SPREAD:
+		if (strcmp(g->target, MEMB_TAKE_OVER) == 0 &&
+		    m->o.take_over != NULL)
+			m->o.take_over(m->o.ctx);
 		break;
 	default:
 		m->stats.malformed++;
--- a/core/memb/memb.h
+++ b/core/memb/memb.h
@@ -49,6 +49,8 @@
 	 * called again only for a newer announcement.  May be NULL.
 	 */
 	void (*former)(void *ctx, const struct pt_member *);
+	/* Another member sent memb_ask_take_over().  May be NULL. */
+	void (*take_over)(void *ctx);
 	void *ctx;
 };
 
@@ -147,6 +149,13 @@
  * its failure domain, without waiting for the next probe.
  */
 void memb_send_position(struct memb *, guint n);
+/* Sends it to a random member of each other failure domain. */
+void memb_send_position_abroad(struct memb *);
+/*
+ * Asks a random member of this failure domain, and one of another, to take over
+ * a task that this instance was elected for and cannot do.
+ */
+void memb_ask_take_over(struct memb *);
 /*
  * This instance is one of the "n" live members of its failure domain with the
  * highest priority.
@@ -204,6 +213,8 @@
 #define MEMB_INCARNATION_MAX (G_MAXINT64 / 2)
 /* A tick this late means that the process was paused. */
 #define MEMB_PAUSE_US (700 * MEMB_MS)
+/* Target of a PT_SPREAD that asks its receiver to take over. */
+#define MEMB_TAKE_OVER "take-over"
 #define MEMB_NOT_IN_ORDER G_MAXUINT32 /* order_index: not probed in turn */
 
 LIST_HEAD(memb_list, memb_entry);
--- a/core/memb/role.c
+++ b/core/memb/role.c
@@ -44,3 +44,55 @@
 		remaining--;
 	}
 }
+
+/* A random present member of a failure domain, NULL: there is none. */
+static struct memb_entry *
+random_in(struct memb *m, const struct memb_group *domain)
+{
+	struct memb_entry *e, *chosen = NULL;
+	guint n = 0;
+
+	LIST_FOREACH(e, &domain->members, in_domain)
+	if (e != m->self && e->m.health == PT_ALIVE && memb_present(&e->m) &&
+	    g_rand_int_range(m->o.rand, 0, (gint32)++n) == 0)
+		chosen = e;
+	return chosen;
+}
+
+static void
+send_to(struct memb *m, const struct memb_entry *e, const char *target)
+{
+	if (e != NULL)
+		memb_send(m, e->m.host, e->m.gossip_port, PT_SPREAD, 0, target,
+		    NULL, 0);
+}
+
+void
+memb_send_position_abroad(struct memb *m)
+{
+	GHashTableIter it;
+	gpointer g;
+
+	g_hash_table_iter_init(&it, m->domains);
+	while (g_hash_table_iter_next(&it, NULL, &g))
+		if (g != m->self->domain)
+			send_to(m, random_in(m, g), "");
+}
+
+void
+memb_ask_take_over(struct memb *m)
+{
+	struct memb_group *other = NULL;
+	GHashTableIter it;
+	gpointer g;
+	guint n = 0;
+
+	g_hash_table_iter_init(&it, m->domains);
+	while (g_hash_table_iter_next(&it, NULL, &g))
+		if (g != m->self->domain &&
+		    g_rand_int_range(m->o.rand, 0, (gint32)++n) == 0)
+			other = g;
+	send_to(m, random_in(m, m->self->domain), MEMB_TAKE_OVER);
+	if (other != NULL)
+		send_to(m, random_in(m, other), MEMB_TAKE_OVER);
+}
--- a/rpc/pt.x
+++ b/rpc/pt.x
@@ -175,7 +175,11 @@
 	pt_gossip_kind kind;
 	unsigned nonce;		/* matches an ACK to its PING */
 	pt_name from;
-	pt_name target;		/* instance probed (PING, PING_REQ), or that replied (ACK) */
+	/*
+	 * Instance probed (PING, PING_REQ) or that replied (ACK); SPREAD: empty,
+	 * or "take-over" if the sender asks the receiver to read in its place.
+	 */
+	pt_name target;
 	hyper position;		/* configuration position of the sender */
 	pt_member updates<PT_GOSSIP_MAX>;
 };
--- a/test/source_test.c
+++ b/test/source_test.c
@@ -31,6 +31,8 @@
 #define RECOVERY_US (2 * SECOND)
 /* Most calls per second that one node may make to a faulty store. */
 #define CALLS_PER_SECOND 4
+/* Longest time until a node notices that the store leaves a poll open. */
+#define POLL_TIMEOUT_US (5 * SECOND)
 
 /* ---- clock ---- */
 
@@ -134,7 +136,7 @@
 	LOST /* calls take effect, but their responses are lost */
 };
 
-#define VERSIONS_MAX 64
+#define VERSIONS_MAX 512
 
 static struct {
 	enum fault fault;
@@ -144,11 +146,16 @@
 	guint oldest; /* records at offsets before it have expired */
 	guint rewind; /* reads omit that many of the newest records */
 	guint calls, writes; /* received; writes that took effect */
-	struct pending *waiting; /* a long poll in progress */
+	LIST_HEAD(poll_list, pending) polls; /* long polls in progress */
+	/* The store does not serve the node with this handle, for a cut. */
+	gboolean (*cut)(const struct plat_store *);
+	enum fault cut_fault; /* what such a node gets */
 } store;
 
 /* A call to the store that has no response yet. */
 struct pending {
+	LIST_ENTRY(pending) poll;
+	const struct plat_store *from_node;
 	plat_records_cb records;
 	plat_done_cb done;
 	void *ctx;
@@ -210,49 +217,86 @@
 static void
 poll_timeout(void *arg)
 {
-	store.waiting = NULL;
-	respond(arg);
+	struct pending *c = arg;
+
+	LIST_REMOVE(c, poll);
+	respond(c);
 }
 
-/* Responds to the long poll, if any, as there is a new record. */
-static void
-wake_poll(void)
+static enum fault
+fault_of(const struct plat_store *s)
 {
-	struct pending *c = store.waiting;
+	return store.cut != NULL && store.cut(s) ? store.cut_fault
+						 : store.fault;
+}
 
-	if (c == NULL || store.fault != UP)
-		return;
-	sys_cancel(&c->timer);
-	store.waiting = NULL;
-	c->timer = sys_after(store.delay, respond, c);
+/* Responds to the long polls, as there is a new record. */
+static void
+wake_polls(void)
+{
+	struct pending *c, *next;
+
+	for (c = LIST_FIRST(&store.polls); c != NULL; c = next) {
+		next = LIST_NEXT(c, poll);
+		if (fault_of(c->from_node) != UP)
+			continue;
+		LIST_REMOVE(c, poll);
+		sys_cancel(&c->timer);
+		c->timer = sys_after(store.delay, respond, c);
+	}
 }
 
 static void
-store_call(struct pending *c, guint wait_ms, guint timeout_ms)
+store_call(struct pending *c, const struct plat_store *s, guint wait_ms,
+    guint timeout_ms)
 {
+	enum fault fault = fault_of(s);
 	gint64 delay = store.delay;
 
 	store.calls++;
-	if (store.fault == UP) {
-		if (wait_ms > 0 && c->from >= store.n - store.rewind &&
-		    store.waiting == NULL) {
-			store.waiting = c;
+	c->from_node = s;
+	if (fault == UP) {
+		if (wait_ms > 0 && c->from >= store.n - store.rewind) {
+			LIST_INSERT_HEAD(&store.polls, c, poll);
 			c->timer = sys_after(wait_ms * MS, poll_timeout, c);
 			return;
 		}
 		c->timer = sys_after(delay, respond, c);
 		return;
 	}
-	if (store.fault == SILENT || store.fault == LOST)
+	if (fault == SILENT || fault == LOST)
 		delay = timeout_ms * MS;
 	c->err = g_error_new(PT_ERROR,
-	    store.fault == DOWN	  ? PT_ERROR_UNREACHABLE
-	    : store.fault == BUSY ? PT_ERROR_BUSY
-				  : PT_ERROR_UNKNOWN,
-	    "fault %d", (int)store.fault);
+	    fault == DOWN   ? PT_ERROR_UNREACHABLE
+	    : fault == BUSY ? PT_ERROR_BUSY
+			    : PT_ERROR_UNKNOWN,
+	    "fault %d", (int)fault);
 	c->timer = sys_after(delay, respond, c);
 }
 
+/* Fails the long polls of nodes that the store no longer serves. */
+static void
+cut_polls(void)
+{
+	struct pending *c, *next;
+
+	for (c = LIST_FIRST(&store.polls); c != NULL; c = next) {
+		next = LIST_NEXT(c, poll);
+		if (fault_of(c->from_node) == UP)
+			continue;
+		LIST_REMOVE(c, poll);
+		c->err = g_error_new(PT_ERROR, PT_ERROR_UNKNOWN, "cut");
+		/* A silent store leaves the connection open. */
+		if (fault_of(c->from_node) != SILENT || store.cut == NULL) {
+			sys_cancel(&c->timer);
+			c->timer = sys_after(0, respond, c);
+			continue;
+		}
+		sys_cancel(&c->timer);
+		c->timer = sys_after(POLL_TIMEOUT_US, respond, c);
+	}
+}
+
 struct plat_store *
 plat_store_new(const struct plat_addr *a)
 {
@@ -298,7 +342,7 @@
 	c->config = strcmp(topic, "config") == 0;
 	c->records = cb;
 	c->ctx = ctx;
-	store_call(c, 0, timeout_ms);
+	store_call(c, s, 0, timeout_ms);
 }
 
 void
@@ -311,7 +355,7 @@
 	c->from = (guint)from;
 	c->records = cb;
 	c->ctx = ctx;
-	store_call(c, wait_ms, timeout_ms);
+	store_call(c, s, wait_ms, timeout_ms);
 }
 
 void
@@ -322,9 +366,9 @@
 
 	c->done = cb;
 	c->ctx = ctx;
-	if (store.fault == UP || store.fault == LOST)
+	if (fault_of(s) == UP || fault_of(s) == LOST)
 		store.writes++;
-	store_call(c, 0, timeout_ms);
+	store_call(c, s, 0, timeout_ms);
 }
 
 /* ---- the node ---- */
@@ -486,22 +530,15 @@
 {
 	ck_assert_uint_lt(store.n, VERSIONS_MAX);
 	store.version[store.n++] = version;
-	wake_poll();
+	wake_polls();
 }
 
 /* Sets the store's fault; a long poll in progress fails. */
 static void
 set_fault(enum fault t)
 {
-	struct pending *c = store.waiting;
-
 	store.fault = t;
-	store.waiting = NULL;
-	if (c == NULL)
-		return;
-	c->err = g_error_new(PT_ERROR, PT_ERROR_UNKNOWN, "cut");
-	sys_cancel(&c->timer);
-	c->timer = sys_after(0, respond, c);
+	cut_polls();
 }
 
 /* Starts reading from a store that holds this version. */
@@ -687,6 +724,364 @@
 }
 END_TEST
 
+/* ---- a mesh whose nodes reach the store in part ---- */
+
+#define MESH_MAX 64
+#define TICK_US (50 * MS)
+#define HOP_US (2 * MS) /* of a message between nodes */
+/*
+ * Required by users: longest time from a change until it is in force while some
+ * nodes have lost the store, and while they are just losing it.
+ */
+#define PART_IN_FORCE_US (2 * SECOND)
+#define LOSING_IN_FORCE_US (7 * SECOND)
+
+struct mesh_node {
+	struct proxy p;
+	struct plat_settings set;
+	struct pt_dgram dgram;
+	char name[16], host[16], domain[8];
+	gboolean cut;
+	guint ticks;
+};
+
+static struct mesh_node mesh[MESH_MAX];
+static guint n_mesh;
+
+struct message {
+	struct mesh_node *to;
+	GBytes *data;
+};
+
+static struct mesh_node *
+mesh_by_host(const char *host)
+{
+	guint i;
+
+	for (i = 0; i < n_mesh; i++)
+		if (strcmp(mesh[i].host, host) == 0)
+			return &mesh[i];
+	return NULL;
+}
+
+static gboolean
+mesh_cut(const struct plat_store *s)
+{
+	return s != NULL && ((const struct mesh_node *)(const void *)s)->cut;
+}
+
+static void
+mesh_deliver(void *arg)
+{
+	struct message *m = arg;
+	gsize n;
+	const void *data = g_bytes_get_data(m->data, &n);
+
+	memb_input(m->to->p.memb, data, n);
+	g_bytes_unref(m->data);
+	g_free(m);
+}
+
+static void
+mesh_send(void *ctx, const char *host, guint port, const void *data, gsize len)
+{
+	struct message *m;
+	struct mesh_node *to = mesh_by_host(host);
+
+	if (to == NULL)
+		return;
+	m = g_new0(struct message, 1);
+	m->to = to;
+	m->data = g_bytes_new(data, len);
+	sys_after(HOP_US, mesh_deliver, m);
+}
+
+/* Calls are answered at once, as their results are copied by the caller. */
+static void
+mesh_call(void *ctx, const char *host, guint port, guint proc, const void *args,
+    guint timeout_ms, pt_rpc_cb cb, void *arg)
+{
+	struct mesh_node *to = mesh_by_host(host);
+	struct pt_table_res table = { .proto = PT_PROTO };
+	struct pt_members_res members = { 0 };
+
+	if (proc == PT_MEMBERS) {
+		memb_handle_members(to->p.memb, args, &members);
+		cb(arg, &members, NULL);
+		memb_members_clear(&members);
+	} else {
+		source_table(to->p.source, args, &table);
+		cb(arg, &table, NULL);
+	}
+}
+
+static void
+mesh_tick(void *arg)
+{
+	struct mesh_node *n = arg;
+	gint64 have = n->p.rtab != NULL ? rtab_version(n->p.rtab) : 0;
+
+	sys_after(TICK_US, mesh_tick, n);
+	memb_tick(n->p.memb);
+	if (memb_newest_position(n->p.memb, NULL) > have)
+		source_notify(n->p.source);
+	if (++n->ticks % (SECOND / TICK_US) == 0)
+		source_tick(n->p.source);
+}
+
+static void
+mesh_node_start(struct mesh_node *n, guint i, guint domains)
+{
+	struct proxy *x = &n->p;
+	struct pt_member self = { .instance = n->name,
+		.incarnation = 1,
+		.started = 1,
+		.state = PT_SERVING,
+		.host = n->host,
+		.rpc_port = 1,
+		.gossip_port = 1,
+		.http_port = 1,
+		.domain = n->domain,
+		.region = (char *)(guintptr) "r",
+		.service = (char *)(guintptr) "s" };
+	struct memb_opts o = { .self = &self,
+		.clock = &x->clock,
+		.dgram = &n->dgram,
+		.rpc = &x->rpc,
+		.events = &x->events };
+	struct reg_opts ro = { .clock = sys_clock,
+		.address = "a",
+		.service = "s",
+		.heartbeat = SECOND };
+	struct reg_announce ann = { .id = "i-1",
+		.service = "s",
+		.address = "a",
+		.slots = 1,
+		.state = REG_SERVING };
+
+	g_snprintf(n->name, sizeof(n->name), "node-%u", i);
+	g_snprintf(n->host, sizeof(n->host), "127.0.1.%u", i + 1);
+	g_snprintf(n->domain, sizeof(n->domain), "z%u", i % domains);
+	n->set.instance = n->name;
+	n->set.domain = n->domain;
+	n->set.service = (char *)(guintptr) "s";
+	n->set.first_start = TRUE;
+	n->set.n_seeds = 1;
+	n->set.peer.host = n->host;
+	n->dgram.send = mesh_send;
+	x->set = &n->set;
+	x->clock = sys_clock;
+	x->rand = o.rand = g_rand_new_with_seed(100 + i);
+	x->rpc.call = mesh_call;
+	x->dirty_services =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	x->lb = lb_new(&(struct lb_opts){ .clock = sys_clock,
+	    .rand = x->rand,
+	    .domain = n->domain,
+	    .events = &x->events });
+	members_opts(x, &o);
+	x->memb = memb_new(&o);
+	x->memb_ticker = sys_ticker_new(NULL, NULL);
+	x->reg = reg_new(&ro);
+	ck_assert_int_eq(reg_announce(x->reg, &ann), REG_NEW);
+	x->budget = budget_new();
+	x->stats = stats_new();
+	x->backend = backend_new(x);
+	x->adopt = adopt_new(x);
+	x->store = (struct plat_store *)(void *)n;
+	x->source = source_new(x);
+	x->discovery = discovery_new(x);
+	if (i > 0)
+		memb_add_seed(x->memb, mesh[0].host, 1, 1);
+	sys_after(TICK_US, mesh_tick, n);
+}
+
+static void
+mesh_start(guint n, guint domains)
+{
+	guint i;
+
+	memset(mesh, 0, sizeof(mesh));
+	n_mesh = n;
+	store.cut = mesh_cut;
+	add_version(5);
+	for (i = 0; i < n; i++)
+		mesh_node_start(&mesh[i], i, domains);
+	advance(10 * SECOND);
+}
+
+static void
+mesh_stop(void)
+{
+	struct proxy *x;
+	guint i;
+
+	for (i = 0; i < n_mesh; i++) {
+		x = &mesh[i].p;
+		source_free(x->source);
+		discovery_free(x->discovery);
+		sys_cancel(&x->rebuild_timer);
+		adopt_free(x->adopt);
+		backend_free(x->backend);
+		sys_ticker_free(x->memb_ticker);
+		memb_free(x->memb);
+		lb_free(x->lb);
+		g_hash_table_unref(x->dirty_services);
+		reg_free(x->reg);
+		budget_free(x->budget);
+		stats_free(x->stats);
+		rtab_unref(x->rtab);
+		g_rand_free(x->rand);
+	}
+}
+
+/* Advances until the version is in force at every node; returns the time. */
+static gint64
+mesh_in_force(gint64 version, gint64 max)
+{
+	gint64 since = now_us;
+	guint i;
+
+	do {
+		for (i = 0; i < n_mesh; i++)
+			if (mesh[i].p.rtab == NULL ||
+			    rtab_version(mesh[i].p.rtab) < version)
+				break;
+		if (i == n_mesh)
+			break;
+		advance(10 * MS);
+	} while (now_us - since <= max);
+	return now_us - since;
+}
+
+/* Cuts the nodes that are not in the set, and fails their polls. */
+static void
+mesh_cut_others(guint64 served, enum fault fault)
+{
+	guint i;
+
+	store.cut_fault = fault;
+	for (i = 0; i < n_mesh; i++)
+		mesh[i].cut = (served >> i & 1) == 0;
+	cut_polls();
+}
+
+/*
+ * Guards against a change that nobody reads because the readers of a failure
+ * domain, or all readers, have lost the store while other nodes reach it: for
+ * every set of nodes that do, down to a single one.
+ */
+START_TEST(change_is_in_force_where_few_reach_the_store)
+{
+	static const enum fault kinds[] = { DOWN, BUSY, SILENT };
+	gint64 version = 6, took;
+	guint64 served;
+	guint k;
+
+	mesh_start(6, 2);
+	for (served = 1; served < 1 << 6; served++)
+		for (k = 0; k < G_N_ELEMENTS(kinds); k++) {
+			/* The change comes as the nodes lose the store. */
+			mesh_cut_others(G_MAXUINT64, UP);
+			advance(3 * SECOND);
+			mesh_cut_others(served, kinds[k]);
+			add_version(++version);
+			took = mesh_in_force(version, LOSING_IN_FORCE_US);
+			ck_assert_msg(took <= LOSING_IN_FORCE_US,
+			    "set %#x, fault %d: %d ms as it was lost",
+			    (guint)served, (int)kinds[k], (int)(took / MS));
+			/* It comes when they have long lost it. */
+			advance(LOSING_IN_FORCE_US);
+			add_version(++version);
+			took = mesh_in_force(version, PART_IN_FORCE_US);
+			ck_assert_msg(took <= PART_IN_FORCE_US,
+			    "set %#x, fault %d: %d ms", (guint)served,
+			    (int)kinds[k], (int)(took / MS));
+		}
+	mesh_stop();
+}
+END_TEST
+
+/* The same with more nodes, and a random few of them that reach the store. */
+START_TEST(change_is_in_force_in_larger_meshes)
+{
+	static const enum fault kinds[] = { DOWN, SILENT };
+	const guint n = _i == 0 ? 14 : 60, domains = _i == 0 ? 3 : 5;
+	GRand *rand = g_rand_new_with_seed(17);
+	gint64 version = 6, took, share;
+	guint64 served;
+	guint i, k;
+
+	mesh_start(n, domains);
+	for (k = 0; k < 100; k++) {
+		/* 5 to 50 percent of the nodes, one at least. */
+		share = g_rand_int_range(rand, 5, 51);
+		served = G_GUINT64_CONSTANT(1) << g_rand_int_range(rand, 0, n);
+		for (i = 0; i < n; i++)
+			if (g_rand_int_range(rand, 0, 100) < share)
+				served |= G_GUINT64_CONSTANT(1) << i;
+		mesh_cut_others(G_MAXUINT64, UP);
+		advance(3 * SECOND);
+		mesh_cut_others(served, kinds[k % 2]);
+		add_version(++version);
+		took = mesh_in_force(version, LOSING_IN_FORCE_US);
+		ck_assert_msg(took <= LOSING_IN_FORCE_US,
+		    "play %u: %d ms as it was lost", k, (int)(took / MS));
+		advance(LOSING_IN_FORCE_US);
+		add_version(++version);
+		took = mesh_in_force(version, PART_IN_FORCE_US);
+		ck_assert_msg(took <= PART_IN_FORCE_US, "play %u: %d ms", k,
+		    (int)(took / MS));
+	}
+	mesh_stop();
+	g_rand_free(rand);
+}
+END_TEST
+
+/*
+ * Guards against an entry of every node in the store, which each node that
+ * starts would have to read, and against a failure domain without one.
+ */
+START_TEST(few_nodes_keep_an_entry)
+{
+	mesh_start(60, 2);
+	advance(20 * SECOND);
+	ck_assert_uint_ge(store.writes, 2 * 2);
+	ck_assert_uint_le(store.writes, 2 * 4);
+	mesh_stop();
+}
+END_TEST
+
+/*
+ * Guards against calls to the store that grow with the nodes: a failure domain
+ * of ten times the nodes makes about the same number of calls, at the start and
+ * later, also while the store is down.
+ */
+START_TEST(calls_grow_with_the_failure_domains)
+{
+	guint calls[2][3], i, k, from;
+
+	for (i = 0; i < 2; i++) {
+		setup();
+		mesh_start(i == 0 ? 6 : 60, 2);
+		from = 0;
+		for (k = 0; k < 3; k++) {
+			if (k == 2)
+				set_fault(DOWN);
+			advance(20 * SECOND);
+			calls[i][k] = store.calls - from;
+			from = store.calls;
+		}
+		mesh_stop();
+		teardown();
+	}
+	for (k = 0; k < 3; k++)
+		ck_assert_msg(calls[1][k] <= 2 * calls[0][k] + n_mesh,
+		    "period %u: %u calls of 6 nodes, %u of 60", k, calls[0][k],
+		    calls[1][k]);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -703,5 +1098,14 @@
 	tcase_add_test(t, quick_changes);
 	tcase_add_loop_test(t, entry_written_after_store_fault, 0, 4 * PHASES);
 	suite_add_tcase(suite, t);
+	t = tcase_create("mesh");
+	tcase_add_checked_fixture(t, setup, teardown);
+	tcase_add_test(t, change_is_in_force_where_few_reach_the_store);
+	tcase_add_loop_test(t, change_is_in_force_in_larger_meshes, 0, 2);
+	tcase_add_test(t, few_nodes_keep_an_entry);
+	suite_add_tcase(suite, t);
+	t = tcase_create("calls");
+	tcase_add_test(t, calls_grow_with_the_failure_domains);
+	suite_add_tcase(suite, t);
 	return suite_run(suite);
 }
