Reject folded fields, blanks in names, a missing or second Host; drop trailers; bound 1xx and stray responses

Cause: http_parser accepts continuation lines and blanks in field names, and reports trailers as fields; they became fields of the forwarded head (a trailer Host was a second Host). 1xx responses and stray responses were read without a limit on their number, and a stray response that ends with its connection kept the call until its deadline. Change: these are 400 (requests) or a broken response; trailers are dropped; at most 16 1xx responses and 4 stray ones for each call. Ruled out: endless targets, fields, chunk extensions and trailers, which were bounded before (now tested); responses cut at any byte (now tested). The requests of h1_server_test get a Host, as HTTP/1.1 requires it.

--- a/adapter/h1/conn.c
+++ b/adapter/h1/conn.c
@@ -482,6 +482,7 @@
 h1_expect(struct h1_conn *c, gboolean bodyless)
 {
 	c->bodyless = bodyless;
+	c->parse.n_interim = 0;
 	h1_read_next(c);
 }
 
--- a/adapter/h1/conn.h
+++ b/adapter/h1/conn.h
@@ -10,6 +10,10 @@
 	gboolean in_value;
 	gboolean started; /* within a message */
 	gboolean interim; /* within a 1xx response */
+	guint n_interim; /* 1xx responses since the request */
+	gboolean in_trailer; /* the head is complete: fields are trailers */
+	const char *input; /* start of the bytes being parsed */
+	char last; /* last byte parsed before them that is no blank */
 };
 
 struct h1_conn {
--- a/adapter/h1/parse.c
+++ b/adapter/h1/parse.c
@@ -10,6 +10,13 @@
 #include "h1.h"
 #include "conn.h"
 
+/*
+ * Most 1xx responses to one request: a server may send them for ever, each one
+ * a complete head.
+ */
+#define INTERIM_MAX 16
+
+/* Trailers are dropped: as fields of the head they would be forwarded. */
 static void
 field_end(struct h1_parse *p)
 {
@@ -17,6 +24,11 @@
 
 	if (p->name->len == 0)
 		return;
+	if (p->in_trailer) {
+		g_string_truncate(p->name, 0);
+		g_string_truncate(p->value, 0);
+		return;
+	}
 	f.name = g_strndup(p->name->str, p->name->len);
 	f.value = g_strchomp(g_strndup(p->value->str, p->value->len));
 	g_array_append_val(p->head->fields, f);
@@ -55,6 +67,7 @@
 	p->head_bytes = 0;
 	p->body_bytes = 0;
 	p->in_value = FALSE;
+	p->in_trailer = FALSE;
 	p->started = TRUE;
 	return 0;
 }
@@ -79,19 +92,29 @@
 	if (p->in_value)
 		field_end(p);
 	p->in_value = FALSE;
-	if (!count_head(c, n))
+	/* http_parser accepts blanks within and after a name. */
+	if (!count_head(c, n) || memchr(s, ' ', n) != NULL)
 		return -1;
 	g_string_append_len(p->name, s, n);
 	return 0;
 }
 
+/* TRUE if the part of a value at "s" begins on a continuation line. */
+static gboolean
+is_folded(const struct h1_parse *p, const char *s)
+{
+	while (s > p->input && (s[-1] == ' ' || s[-1] == '\t'))
+		s--;
+	return (s > p->input ? s[-1] : p->last) == '\n';
+}
+
 static int
 on_value(http_parser *hp, const char *s, size_t n)
 {
 	struct h1_conn *c = hp->data;
 
 	c->parse.in_value = TRUE;
-	if (!count_head(c, n))
+	if (!count_head(c, n) || (n > 0 && is_folded(&c->parse, s)))
 		return -1;
 	g_string_append_len(c->parse.value, s, n);
 	return 0;
@@ -117,6 +140,19 @@
 	return TRUE;
 }
 
+/* A request names its host once; HTTP/1.0 may omit it. */
+static gboolean
+host_ok(const struct h1_head *h)
+{
+	guint i, n = 0;
+
+	for (i = 0; i < h->fields->len; i++)
+		n += g_ascii_strcasecmp(
+			 g_array_index(h->fields, struct h1_field, i).name,
+			 "Host") == 0;
+	return n == 1 || (n == 0 && h->http10);
+}
+
 static int
 on_head(http_parser *hp)
 {
@@ -125,6 +161,7 @@
 	struct h1_head *h = p->head;
 
 	field_end(p);
+	p->in_trailer = TRUE;
 	hp->upgrade = 0;
 	h->status = (int)hp->status_code;
 	if (c->server) {
@@ -137,7 +174,7 @@
 	h->keep_alive = http_should_keep_alive(hp) != 0;
 	h->http10 = hp->http_major == 1 && hp->http_minor == 0;
 	if (!coding_ok(h) || hp->http_major != 1 ||
-	    (c->server && hp->method == HTTP_CONNECT)) {
+	    (c->server && (hp->method == HTTP_CONNECT || !host_ok(h)))) {
 		p->status = 400;
 		return -1;
 	}
@@ -148,7 +185,8 @@
 	/* A 1xx response precedes the final one; 101 is rejected. */
 	if (!c->server && h->status < 200) {
 		p->interim = TRUE;
-		return h->status == 101 ? -1 : 0;
+		return h->status == 101 || ++p->n_interim > INTERIM_MAX ? -1
+									: 0;
 	}
 	c->ops->head(c->ctx, h);
 	if (c->freed || c->finishing)
@@ -216,6 +254,16 @@
 	g_string_free(c->parse.value, TRUE);
 }
 
+/* Remembers the end of the parsed bytes for is_folded(). */
+static void
+set_last(struct h1_parse *p, const char *s, gsize n)
+{
+	while (n > 0 && (s[n - 1] == ' ' || s[n - 1] == '\t'))
+		n--;
+	if (n > 0)
+		p->last = s[n - 1];
+}
+
 /*
  * Parses buffered input until a message is complete.  FALSE: the input is
  * malformed, or the connection was freed or is finishing.  complete() is called
@@ -230,10 +278,12 @@
 	gsize used;
 
 	while (c->expecting && c->in->len > 0) {
+		c->parse.input = (const char *)c->in->data;
 		used = http_parser_execute(
-		    hp, &callbacks, (const char *)c->in->data, c->in->len);
+		    hp, &callbacks, c->parse.input, c->in->len);
 		if (c->freed || c->finishing)
 			return FALSE;
+		set_last(&c->parse, c->parse.input, MIN(used, c->in->len));
 		e = HTTP_PARSER_ERRNO(hp);
 		if (e == HPE_PAUSED)
 			http_parser_pause(hp, 0);
--- a/adapter/h1/pool.c
+++ b/adapter/h1/pool.c
@@ -14,6 +14,8 @@
  * close the connection while the next request is on its way.
  */
 #define IDLE_MARGIN_MS 1000
+/* Most stray responses that are discarded while one call waits. */
+#define STRAYS_MAX 4
 
 /* A pooled connection. */
 struct pconn {
@@ -23,6 +25,7 @@
 	struct h1_call *call; /* NULL: idle */
 	gboolean connected;
 	gboolean stray; /* the response being read is discarded */
+	guint n_strays; /* discarded during the call */
 	gboolean no_reuse; /* close after the call */
 	guint idle_ms; /* limit that the peer announced, or the pool's */
 };
@@ -210,6 +213,11 @@
 
 	parse_keep_alive(pc, h);
 	pc->stray = !pc->call->o.ops->head(pc->call->o.ctx, h);
+	if (!pc->stray)
+		return;
+	/* One that ends with the connection leaves none for the response. */
+	if (++pc->n_strays > STRAYS_MAX || (!h->chunked && h->length < 0))
+		call_fail(pc->call, H1_END_BAD, "stray response");
 }
 
 static void
@@ -238,6 +246,7 @@
 	TAILQ_INSERT_HEAD(&p->idle, pc, entry);
 	p->n_idle++;
 	pc->call = NULL;
+	pc->n_strays = 0;
 	h1_pause(pc->conn, FALSE);
 	if (pc->no_reuse || !h1_persistent(pc->conn))
 		pconn_free(pc);
--- a/test/h1_server_test.c
+++ b/test/h1_server_test.c
@@ -103,8 +103,9 @@
 {
 	char *got;
 
-	loop_send(t.caller, "PUT /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc"
-			    "GET /b HTTP/1.1\r\n\r\n");
+	loop_send(t.caller,
+	    "PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+	    "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
 	UNTIL(t.requests == 1);
 	ck_assert_str_eq(t.body->str, "abc");
 	ck_assert_str_eq(t.request->head->target, "/a");
@@ -131,7 +132,8 @@
 {
 	char *got;
 
-	loop_send(t.caller, "HEAD /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n");
+	loop_send(t.caller, "HEAD /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b "
+			    "HTTP/1.1\r\nHost: h\r\n\r\n");
 	UNTIL(t.requests == 1);
 	respond("never", FALSE);
 	UNTIL(t.requests == 2);
@@ -149,13 +151,13 @@
  */
 START_TEST(closed_connections_are_reported_once)
 {
-	loop_send(t.caller, "GET /a HTTP/1.1\r\n\r\n");
+	loop_send(t.caller, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
 	UNTIL(t.requests == 1);
 	loop_reset(t.caller);
 	t.caller = NULL;
 	UNTIL(t.closed == 1);
 	t.caller = loop_connect(HOST, h1_server_port(t.server));
-	loop_send(t.caller, "GET /b HTTP/1.1\r\n\r\n");
+	loop_send(t.caller, "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
 	UNTIL(t.requests == 2);
 	h1_server_close(t.server);
 	ck_assert_int_eq(t.closed, 2);
@@ -168,14 +170,16 @@
 {
 	char *got;
 
-	loop_send(t.caller, "PUT /a HTTP/1.1\r\nContent-Length: x\r\n\r\n");
+	loop_send(t.caller,
+	    "PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: x\r\n\r\n");
 	got = loop_expect(t.caller, "\r\n\r\n");
 	ck_assert_ptr_nonnull(strstr(got, "400 "));
 	g_free(got);
 	expect_close();
 	loop_close(t.caller);
 	t.caller = loop_connect(HOST, h1_server_port(t.server));
-	loop_send(t.caller, "PUT /a HTTP/1.1\r\nContent-Length: 11\r\n\r\n");
+	loop_send(t.caller,
+	    "PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n");
 	got = loop_expect(t.caller, "\r\n\r\n");
 	ck_assert_ptr_nonnull(strstr(got, "413 "));
 	g_free(got);
--- a/test/h1_test.c
+++ b/test/h1_test.c
@@ -141,6 +141,17 @@
 	  "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 	    400 },
 	{ "CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n", 400 },
+	{ "GET / HTTP/1.1\r\n\r\n", 400 },
+	{ "GET / HTTP/1.1\r\nHost: h\r\nHost: h\r\n\r\n", 400 },
+	{ "GET / HTTP/1.0\r\nHost: h\r\nHost: i\r\n\r\n", 400 },
+	{ "GET / HTTP/1.1\r\nHost : h\r\n\r\n", 400 },
+	{ "GET / HTTP/1.1\r\nHost: h\r\nA\t: b\r\n\r\n", 400 },
+	{ "GET / HTTP/1.1\r\nHost: h\r\nA B: c\r\n\r\n", 400 },
+	{ "GET / HTTP/1.1\r\nHost: h\r\nA: b\r\n c\r\n\r\n", 400 },
+	{ "GET / HTTP/1.1\r\nHost: h\r\nA:\r\n\tb\r\n\r\n", 400 },
+	{ "GET / HTTP/1.1\r\nHost: h\r\nA: b\r\n \r\n\r\n", 400 },
+	{ "GET / HTTP/1.1\r\nHost: h\r\nA: b\rc\r\n\r\n", 400 },
+	{ "GET / HTTP/1.1\r\nHost: h\r\nA: b\001c\r\n\r\n", 400 },
 	{ "no request at all\r\n\r\n", 400 },
 	{ "GET / HTTP/2.0\r\nHost: h\r\n\r\n", 400 },
 	{ "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5001\r\n\r\n", 413 },
@@ -165,6 +176,126 @@
 }
 END_TEST
 
+/*
+ * Guards against a malformed head that is accepted because it arrives in two
+ * parts, for every position at which it may be divided.
+ */
+START_TEST(divided_malformed_requests_are_rejected)
+{
+	char *first;
+	gsize at;
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(rejected); i++)
+		for (at = 1; at < strlen(rejected[i].text); at++) {
+			reconnect();
+			first = g_strndup(rejected[i].text, at);
+			loop_send(s.caller, first);
+			LOOP_IDLE();
+			if (s.bad == 0)
+				loop_send(s.caller, rejected[i].text + at);
+			UNTIL(s.bad > 0);
+			ck_assert_int_eq(s.completes, 0);
+			g_free(first);
+		}
+}
+END_TEST
+
+/* Guards against a legal head that is rejected when it is divided. */
+START_TEST(divided_requests_are_read)
+{
+	static const char text[] = "POST / HTTP/1.1\r\nHost:h \r\nA:  b  c "
+				   "\r\nB:\r\nC: \t d\r\n"
+				   "Content-Length: 2\r\n\r\nab";
+	char *first;
+	gsize at;
+
+	for (at = 1; at < strlen(text); at++) {
+		reconnect();
+		first = g_strndup(text, at);
+		loop_send(s.caller, first);
+		LOOP_IDLE();
+		loop_send(s.caller, text + at);
+		UNTIL(s.completes == 1);
+		ck_assert_str_eq(h1_head_get(s.head, "A"), "b  c");
+		ck_assert_str_eq(h1_head_get(s.head, "B"), "");
+		ck_assert_str_eq(h1_head_get(s.head, "C"), "d");
+		g_free(first);
+	}
+}
+END_TEST
+
+/*
+ * Guards against a trailer that is taken for a field of the head: it would be
+ * forwarded as one, such as a second Host.
+ */
+START_TEST(trailers_are_not_fields_of_the_head)
+{
+	loop_send(s.caller, "POST / HTTP/1.1\r\nHost: h\r\n"
+			    "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"
+			    "0\r\nHost: i\r\nX: y\r\nZ: z\r\n\r\n");
+	UNTIL(s.completes == 1);
+	ck_assert_uint_eq(s.head->fields->len, 2);
+	ck_assert_ptr_null(h1_head_get(s.head, "X"));
+	h1_read_next(s.conn);
+	loop_send(s.caller, "GET / HTTP/1.1\r\nHost: j\r\n\r\n");
+	UNTIL(s.completes == 2);
+	ck_assert_uint_eq(s.head->fields->len, 1);
+	ck_assert_str_eq(h1_head_get(s.head, "Host"), "j");
+}
+END_TEST
+
+/* Most bytes of a message that has no end which may be read. */
+#define ENDLESS_MAX (512 * 1024)
+
+/* Sends the text until "cond" holds. */
+#define SEND_UNTIL(sock, text, cond)                                    \
+	do {                                                            \
+		gsize n_ = 0;                                           \
+		while (!(cond)) {                                       \
+			ck_assert_uint_lt(n_, ENDLESS_MAX);             \
+			n_ += (gsize)MAX(g_socket_send((sock), (text),  \
+					     strlen(text), NULL, NULL), \
+			    0);                                         \
+			g_main_context_iteration(NULL, FALSE);          \
+		}                                                       \
+	} while (0)
+
+/*
+ * Guards against requests without an end that are read for ever: in the target,
+ * a field, the number of fields, a chunk's extension and the trailers.
+ */
+START_TEST(endless_requests_are_rejected)
+{
+	static const char chunked[] =
+	    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+	static const struct {
+		const char *begin, *more;
+		int status;
+	} cases[] = {
+		{ "GET /", "aaaaaaaaaaaaaaaa", 431 },
+		{ "GET / HTTP/1.1\r\nHost: h\r\nA: ", "bbbbbbbbbbbbbbbb", 431 },
+		{ "GET / HTTP/1.1\r\nHost: h\r\nA", "bbbbbbbbbbbbbbbb", 431 },
+		{ "GET / HTTP/1.1\r\nHost: h\r\n", "A: b\r\n", 431 },
+		{ "1;", "cccccccccccccccc", 400 },
+		{ "0\r\n", "T: d\r\n", 431 },
+		{ "1\r\na\r\n", "1\r\na\r\n", 413 },
+	};
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		reconnect();
+		if (g_ascii_isdigit(cases[i].begin[0]))
+			loop_send(s.caller, chunked);
+		loop_send(s.caller, cases[i].begin);
+		SEND_UNTIL(s.caller, cases[i].more, s.bad > 0);
+		ck_assert_msg(s.status == cases[i].status, "case %u: status %d",
+		    i, s.status);
+		ck_assert_int_eq(s.completes, 0);
+	}
+}
+END_TEST
+
 /* Guards against unlimited memory for a head, or for a chunked body. */
 START_TEST(oversized_requests_are_rejected)
 {
@@ -543,6 +674,94 @@
 }
 END_TEST
 
+/*
+ * Guards against a response cut off at any byte that is taken for a complete
+ * one.  One that ends with its connection is complete only if it is not reset.
+ */
+START_TEST(responses_cut_at_every_byte_fail)
+{
+	static const struct {
+		const char *text;
+		gboolean until_close;
+	} cases[] = {
+		{ "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabcde", FALSE },
+		{ CHUNKED "2\r\nab\r\n3;x=y\r\ncde\r\n0\r\nT: u\r\n\r\n",
+		    FALSE },
+		{ "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
+		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
+		    FALSE },
+		{ "HTTP/1.1 200 OK\r\n\r\nabcde", TRUE },
+	};
+	struct result r;
+	char *part;
+	gsize at;
+	guint i;
+	int reset;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++)
+		for (at = 0; at < strlen(cases[i].text); at++)
+			for (reset = cases[i].until_close; reset < 2; reset++) {
+				call(&r, NULL);
+				accept_peer();
+				read_request();
+				part = g_strndup(cases[i].text, at);
+				if (at > 0)
+					loop_send(c.peer, part);
+				LOOP_IDLE();
+				if (reset) {
+					loop_reset(c.peer);
+					c.peer = NULL;
+				} else
+					g_socket_shutdown(
+					    c.peer, FALSE, TRUE, NULL);
+				UNTIL(r.failed + r.completes > 0);
+				ck_assert_msg(r.failed == 1 && r.sent,
+				    "case %u at %u, reset %d", i, (guint)at,
+				    reset);
+				result_clear(&r);
+				g_free(part);
+			}
+}
+END_TEST
+
+/*
+ * Guards against responses without an end that are read for ever: in the status
+ * line, a field, 1xx responses, a chunk's extension and the trailers, and
+ * against a stray response that ends only with its connection.
+ */
+START_TEST(endless_responses_fail)
+{
+	static const struct {
+		const char *begin, *more;
+	} cases[] = {
+		{ "HTTP/1.1 200 ", "OKOKOKOKOKOKOKOK" },
+		{ "HTTP/1.1 200 OK\r\nA: ", "bbbbbbbbbbbbbbbb" },
+		{ "HTTP/1.1 200 OK\r\n", "A: b\r\n" },
+		{ "HTTP/1.1 100 Continue\r\n\r\n",
+		    "HTTP/1.1 100 Continue\r\n\r\n" },
+		{ CHUNKED "1;", "cccccccccccccccc" },
+		{ CHUNKED "0\r\n", "T: d\r\n" },
+		{ "HTTP/1.1 200 OK\r\nId: other\r\n\r\n", "dddddddddddddddd" },
+		{ "", "HTTP/1.1 200 OK\r\nId: other\r\n"
+		      "Content-Length: 0\r\n\r\n" },
+	};
+	struct result r;
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		call(&r, i < 6 ? NULL : "mine");
+		accept_peer();
+		read_request();
+		if (cases[i].begin[0] != '\0')
+			loop_send(c.peer, cases[i].begin);
+		SEND_UNTIL(c.peer, cases[i].more, r.failed > 0);
+		ck_assert_int_eq(r.completes, 0);
+		ck_assert_int_eq(r.sent, TRUE);
+		result_clear(&r);
+	}
+}
+END_TEST
+
 #define DAMAGE_RUNS 400
 
 /*
@@ -716,6 +935,10 @@
 
 	tcase_add_checked_fixture(server, server_setup, server_teardown);
 	tcase_add_test(server, malformed_requests_are_rejected);
+	tcase_add_test(server, divided_malformed_requests_are_rejected);
+	tcase_add_test(server, divided_requests_are_read);
+	tcase_add_test(server, trailers_are_not_fields_of_the_head);
+	tcase_add_test(server, endless_requests_are_rejected);
 	tcase_add_test(server, oversized_requests_are_rejected);
 	tcase_add_test(server, chunked_body_is_decoded);
 	tcase_add_test(server, requests_are_read_one_at_a_time);
@@ -730,6 +953,8 @@
 	tcase_add_test(client, stray_responses_are_discarded);
 	tcase_add_test(client, connection_with_surplus_bytes_is_not_reused);
 	tcase_add_test(client, truncated_and_malformed_responses_fail);
+	tcase_add_test(client, responses_cut_at_every_byte_fail);
+	tcase_add_test(client, endless_responses_fail);
 	tcase_add_test(client, randomly_damaged_responses);
 	tcase_add_test(client, responses_without_length);
 	tcase_add_test(client, only_a_refused_connection_is_reported_as_unsent);
