Bound the bodies of all requests together and the time of a slow request; do not deliver answers without the attempt's id

Causes: each request body was bounded by a quarter of the memory, their sum and those from other nodes were not; a head or body that arrives a byte at a time restarted its time-out with each byte, and requests of other nodes had none; an answer without the attempt's id, such as a late second copy, was delivered to the caller who waited on the connection. Change: bodies_add() counts the bodies of a process, beyond a quarter of its memory a request is refused as not run with a Retry-After (body_memory_refused_total); time-outs count from the first byte; an answer without the id counts as lost and closes the connection. Ruled out: memory of answers (64 KB each and paused reads, as before).

--- a/Makefile
+++ b/Makefile
@@ -89,7 +89,7 @@
 $B/test/announce_test.o: ALL += -Icmd/ptnode
 
 PROXYOBJ = $(patsubst %.c,$B/%.o,$(filter-out %/main.c,$(wildcard cmd/ptproxy/*.c)))
-PROXYTESTS = $B/test/proxy_test $B/test/source_test
+PROXYTESTS = $(addprefix $B/test/,proxy_test source_test ingress_test)
 $(PROXYTESTS): PARTS = $(PROXYOBJ)
 $(PROXYTESTS): $(PROXYOBJ)
 $(PROXYTESTS:=.o): ALL += -Icmd/ptproxy
--- a/adapter/h1/conn.c
+++ b/adapter/h1/conn.c
@@ -509,3 +509,9 @@
 {
 	return c->last_active;
 }
+
+gint64
+h1_begun(const struct h1_conn *c)
+{
+	return c->parse.started ? c->parse.begun : 0;
+}
--- a/adapter/h1/conn.h
+++ b/adapter/h1/conn.h
@@ -9,6 +9,7 @@
 	int status; /* to reject the request with, 0: 400 */
 	gboolean in_value;
 	gboolean started; /* within a message */
+	gint64 begun; /* arrival of its first byte */
 	gboolean interim; /* within a 1xx response */
 	guint n_interim; /* 1xx responses since the request */
 	gboolean in_trailer; /* the head is complete: fields are trailers */
--- a/adapter/h1/h1.h
+++ b/adapter/h1/h1.h
@@ -124,6 +124,11 @@
 gboolean h1_idle(const struct h1_conn *);
 /* g_get_monotonic_time() of the last byte read or written. */
 gint64 h1_last_active(const struct h1_conn *);
+/*
+ * g_get_monotonic_time() of the first byte of the message being read; 0: none
+ * is.  Bounds messages that arrive a byte at a time.
+ */
+gint64 h1_begun(const struct h1_conn *);
 
 /* ---- pool of client connections to one address, and calls on it ---- */
 
@@ -232,7 +237,11 @@
 	const char *host;
 	guint port;
 	gint64 body_max; /* bytes, 0: no limit */
-	gint64 idle_us; /* idle connections are closed after it, 0: never */
+	/*
+	 * Idle connections are closed after it, and those with a request that
+	 * is still not complete; 0: never.
+	 */
+	gint64 idle_us;
 	const struct pt_events *events; /* may be NULL */
 	const struct h1_server_ops *ops;
 	void *ctx;
--- a/adapter/h1/parse.c
+++ b/adapter/h1/parse.c
@@ -69,6 +69,7 @@
 	p->in_value = FALSE;
 	p->in_trailer = FALSE;
 	p->started = TRUE;
+	p->begun = c->last_active;
 	return 0;
 }
 
--- a/adapter/h1/server.c
+++ b/adapter/h1/server.c
@@ -146,11 +146,15 @@
 	struct h1_server *s = arg;
 	gint64 now = g_get_monotonic_time();
 	struct h1_request *r, *next;
+	gint64 since;
 
 	s->sweep_timer = sys_after(SWEEP_US, sweep, s);
 	for (r = LIST_FIRST(&s->open); r != NULL; r = next) {
 		next = LIST_NEXT(r, entry);
-		if (!r->pending && now - h1_last_active(r->conn) > s->o.idle_us)
+		since = h1_begun(r->conn);
+		if (since == 0)
+			since = h1_last_active(r->conn);
+		if (!r->pending && now - since > s->o.idle_us)
 			request_close(r);
 	}
 }
--- a/cmd/ptproxy/backend.c
+++ b/cmd/ptproxy/backend.c
@@ -163,6 +163,13 @@
 		return FALSE;
 	}
 	backend_mark_up(r->backend);
+	/* A response without the attempt's id may answer another request. */
+	if (p.attempt_id == NULL && r->fwd->attempt_id != NULL && !p.not_run) {
+		stats_add(r->backend->proxy->stats, STAT_STRAY);
+		r->why = g_strdup("unmatched");
+		h1_call_no_reuse(r->call);
+		return TRUE;
+	}
 	if (p.not_run || (h->status < 300 && !p.is_signed)) {
 		r->why = g_strdup(p.not_run ? "backend-refused" : "unsigned");
 		/* A refusal with the attempt's id keeps the connection. */
--- a/cmd/ptproxy/fwd.c
+++ b/cmd/ptproxy/fwd.c
@@ -15,6 +15,9 @@
 #include "platform.h"
 #include "proxy.h"
 
+/* Share of the process's memory that bodies of requests may take, inverse. */
+#define BODY_MEMORY_DIV 4
+
 struct fwd *
 fwd_ref(struct fwd *fwd)
 {
@@ -102,6 +105,23 @@
 	g_string_append(s, "\r\n");
 }
 
+gboolean
+bodies_add(struct proxy *p, gsize n)
+{
+	if (p->body_bytes + n > p->set->memory / BODY_MEMORY_DIV) {
+		stats_add(p->stats, STAT_BODY_MEMORY);
+		return FALSE;
+	}
+	p->body_bytes += n;
+	return TRUE;
+}
+
+void
+bodies_remove(struct proxy *p, gsize n)
+{
+	p->body_bytes -= n;
+}
+
 void
 xchg_cancel(struct xchg *x)
 {
--- a/cmd/ptproxy/inbound.c
+++ b/cmd/ptproxy/inbound.c
@@ -21,12 +21,18 @@
 
 /* Responses with larger bodies, in bytes, wait for the instance's link. */
 #define SMALL_BYTES (16 * 1024)
+/* A request of another node that takes longer to arrive is given up. */
+#define READ_US (10 * G_TIME_SPAN_SECOND)
+/* Interval at which this is checked. */
+#define SWEEP_US (1 * G_TIME_SPAN_SECOND)
+/* Retry-After, in ms, of a request that found no memory for its body. */
+#define BODY_RETRY_MS 500
 
 struct inbound {
 	struct proxy *proxy;
 	struct pace *pace;
 	struct cost *sizes; /* bytes of responses by route */
-	guint pump_timer;
+	guint pump_timer, sweep_timer;
 	struct rpcio_listener *listener;
 	LIST_HEAD(inconn_list, inconn) conns;
 	guint busy;
@@ -39,6 +45,8 @@
 	struct h1_conn *conn;
 	struct h1_head *head; /* of the request */
 	GByteArray *body;
+	gsize held; /* bytes of the body, as counted by bodies_add() */
+	gboolean no_memory; /* the body was dropped */
 	struct xchg *xchg;
 	GString *out; /* bytes of the response still to be sent */
 	struct pace_job job; /* of a large response */
@@ -60,6 +68,9 @@
 	g_clear_pointer(&c->head, h1_head_unref);
 	g_clear_pointer(&c->fwd, fwd_unref);
 	g_byte_array_set_size(c->body, 0);
+	bodies_remove(c->inbound->proxy, c->held);
+	c->held = 0;
+	c->no_memory = FALSE;
 	g_string_free(c->out, TRUE);
 	c->out = g_string_new(NULL);
 	c->xchg = NULL;
@@ -331,6 +342,12 @@
 
 	c->busy = TRUE;
 	c->inbound->busy++;
+	if (c->no_memory) {
+		f.reason = "body-memory";
+		f.retry_ms = BODY_RETRY_MS;
+		send_failure(c, &f);
+		return;
+	}
 	if (!peerhdr_request_read(c->head, &r)) {
 		send_failure(c, &f);
 		return;
@@ -364,6 +381,14 @@
 {
 	struct inconn *c = ctx;
 
+	if (c->no_memory)
+		return;
+	if (!bodies_add(c->inbound->proxy, n)) {
+		c->no_memory = TRUE;
+		g_byte_array_set_size(c->body, 0);
+		return;
+	}
+	c->held += n;
 	g_byte_array_append(c->body, (const guint8 *)p, (guint)n);
 }
 
@@ -423,6 +448,23 @@
 	LIST_INSERT_HEAD(&s->conns, c, entry);
 }
 
+/* Gives up requests that arrive too slowly. */
+static void
+sweep(void *arg)
+{
+	struct inbound *s = arg;
+	gint64 now = pt_now(&s->proxy->clock), begun;
+	struct inconn *c, *next;
+
+	s->sweep_timer = sys_after(SWEEP_US, sweep, s);
+	for (c = LIST_FIRST(&s->conns); c != NULL; c = next) {
+		next = LIST_NEXT(c, entry);
+		begun = h1_begun(c->conn);
+		if (!c->busy && begun != 0 && now - begun > READ_US)
+			conn_bad(c, 408, "the request is not complete");
+	}
+}
+
 struct inbound *
 inbound_new(struct proxy *p, GError **err)
 {
@@ -438,6 +480,7 @@
 	}
 	s->pace = pace_new(&p->clock, p->set->link_rate);
 	s->sizes = cost_new();
+	s->sweep_timer = sys_after(SWEEP_US, sweep, s);
 	return s;
 }
 
@@ -451,6 +494,7 @@
 	while ((c = LIST_FIRST(&s->conns)) != NULL)
 		inconn_free(c);
 	sys_cancel(&s->pump_timer);
+	sys_cancel(&s->sweep_timer);
 	rpcio_listen_free(s->listener);
 	pace_free(s->pace);
 	cost_free(s->sizes);
@@ -462,3 +506,9 @@
 {
 	return s->busy;
 }
+
+guint
+inbound_port(const struct inbound *s)
+{
+	return rpcio_listen_local_port(s->listener);
+}
--- a/cmd/ptproxy/ingress.c
+++ b/cmd/ptproxy/ingress.c
@@ -233,8 +233,11 @@
 		if (h1_idle(c->conn) && c->request == NULL) {
 			if (age > idle)
 				conn_free(c);
-		} else if (c->request == NULL ? age > head
-					      : !c->complete && age > idle)
+		} else if (c->request == NULL
+			       ? now - h1_begun(c->conn) > head
+			       : !c->complete &&
+				     (age > idle ||
+					 request_overdue(c->request, now)))
 			refuse(c, 408);
 	}
 }
@@ -296,3 +299,9 @@
 {
 	return in->busy;
 }
+
+guint
+ingress_port(const struct ingress *in)
+{
+	return rpcio_listen_local_port(in->listener);
+}
--- a/cmd/ptproxy/proxy.h
+++ b/cmd/ptproxy/proxy.h
@@ -50,6 +50,13 @@
 gboolean response_bodyless(const struct h1_head *request, int status);
 void chunk_put(GString *, const char *, gsize);
 
+/*
+ * Counts bytes of request bodies that this process holds.  FALSE: all bodies
+ * would take more than a quarter of its memory; the bytes are not counted.
+ */
+gboolean bodies_add(struct proxy *, gsize);
+void bodies_remove(struct proxy *, gsize);
+
 /* Load that the node of an upstream reports with each response. */
 struct report {
 	struct pt_load load;
@@ -185,6 +192,8 @@
 struct inbound *inbound_new(struct proxy *, GError **);
 void inbound_free(struct inbound *);
 guint inbound_busy(const struct inbound *);
+/* The port that it listens on, if that of the settings is 0. */
+guint inbound_port(const struct inbound *);
 
 /* ---- ingress.c: connections of callers; request.c: their requests ---- */
 
@@ -192,6 +201,8 @@
 struct ingress *ingress_new(struct proxy *, GError **);
 void ingress_free(struct ingress *);
 guint ingress_busy(const struct ingress *);
+/* The port that it listens on, if that of the settings is 0. */
+guint ingress_port(const struct ingress *);
 /* Closes the idle connections; others close after their response. */
 void ingress_close_idle(struct ingress *);
 void ingress_close_listener(struct ingress *); /* stops accepting */
@@ -203,6 +214,8 @@
 /* Adds a part of the body; FALSE: refused, a response was sent. */
 gboolean request_body(struct request *, const char *, gsize);
 void request_dispatch(struct request *);
+/* TRUE if a request that is not complete has passed its time. */
+gboolean request_overdue(const struct request *, gint64 now);
 /* The caller closed the connection. */
 void request_abandon(struct request *);
 void request_pause(struct request *, gboolean);
@@ -299,7 +312,8 @@
 	STAT_CALLERS_LEFT, /* the caller closed the connection first */
 	STAT_RETRIES, /* requests sent again after they may have run */
 	STAT_MOVED, /* requests sent again that an upstream did not run */
-	STAT_STRAY, /* responses with the id of another attempt */
+	STAT_STRAY, /* responses with the id of another attempt, or none */
+	STAT_BODY_MEMORY, /* requests refused as bodies take their memory */
 	STAT_ANNOUNCEMENTS,
 	STAT_ANNOUNCEMENTS_REFUSED,
 	STAT_STORE_ERRORS,
@@ -350,6 +364,7 @@
 	struct ingress *ingress;
 	struct httpd *ready, *control, *metrics;
 	struct stats *stats;
+	gsize body_bytes; /* of the request bodies held */
 	guint second_timer;
 
 	gint64 started_at; /* start on the process's clock, see proxy_ready() */
--- a/cmd/ptproxy/request.c
+++ b/cmd/ptproxy/request.c
@@ -20,8 +20,6 @@
  * If it breaks off earlier, the request can be retried at another upstream.
  */
 #define BUFFER_MAX (64 * 1024)
-/* Largest body of a request: the process's memory divided by this. */
-#define BODY_MEMORY_DIV 4
 /* Most upstreams that one request is sent to, including those that refuse. */
 #define ATTEMPTS_MAX 4
 /* Time-out of a request whose caller gave none; the route's may be shorter. */
@@ -47,6 +45,7 @@
 	struct h1_head *head; /* of the request */
 	struct fwd *fwd;
 	GByteArray *body;
+	gsize held; /* bytes of the body, as counted by bodies_add() */
 	struct rtab *rtab; /* holds a reference, as "route" points into it */
 	const struct rtab_route *route;
 	char *attempt_id;
@@ -82,6 +81,7 @@
 	guint i;
 
 	sys_cancel(&r->timer);
+	bodies_remove(r->proxy, r->held);
 	if (r->counted)
 		budget_end(r->proxy->budget, r->fwd->service);
 	for (i = 0; i < r->n_tried; i++)
@@ -488,10 +488,11 @@
 gboolean
 request_body(struct request *r, const char *p, gsize n)
 {
-	if (r->body->len + n > r->proxy->set->memory / BODY_MEMORY_DIV) {
+	if (!bodies_add(r->proxy, n)) {
 		respond_local(r, 503, "body-memory", RETRY_LATER_MS);
 		return FALSE;
 	}
+	r->held += n;
 	g_byte_array_append(r->body, (const guint8 *)p, (guint)n);
 	return TRUE;
 }
@@ -553,6 +554,13 @@
 	submit(r);
 }
 
+gboolean
+request_overdue(const struct request *r, gint64 now)
+{
+	return now - r->arrived >
+	       (r->remaining >= 0 ? r->remaining : TIMEOUT_DEFAULT);
+}
+
 void
 request_abandon(struct request *r)
 {
--- a/cmd/ptproxy/stats.c
+++ b/cmd/ptproxy/stats.c
@@ -39,6 +39,7 @@
 	[STAT_RETRIES] = "retries_total",
 	[STAT_MOVED] = "moved_total",
 	[STAT_STRAY] = "stray_responses_total",
+	[STAT_BODY_MEMORY] = "body_memory_refused_total",
 	[STAT_ANNOUNCEMENTS] = "announcements_total",
 	[STAT_ANNOUNCEMENTS_REFUSED] = "announcements_refused_total",
 	[STAT_STORE_ERRORS] = "store_errors_total",
--- a/test/proxy_test.c
+++ b/test/proxy_test.c
@@ -289,6 +289,7 @@
 
 static struct {
 	const char *status_field; /* in each 503, NULL: 200 without signature */
+	const char *sign; /* name of the signature's field; no id is echoed */
 	int requests, connections; /* received so far */
 } server;
 
@@ -304,6 +305,10 @@
 		.fields = f,
 		.n_fields = server.status_field != NULL ? 2 : 1 };
 
+	if (server.sign != NULL) {
+		f[0].name = (char *)server.sign;
+		f[0].value = (char *)"s";
+	}
 	server.requests++;
 	server.connections += r->data == NULL;
 	r->data = &server;
@@ -323,7 +328,7 @@
 
 /* Sends 10 requests in sequence to a server whose responses all fail. */
 static void
-submit_failing(const char *field, enum failure_kind want)
+submit_failing(const char *field, const char *sign, enum failure_kind want)
 {
 	struct h1_server_opts o = { .host = HOST, .ops = &server_ops };
 	struct h1_server *s = h1_server_new(&o, NULL);
@@ -350,6 +355,7 @@
 	p.backend = backend_new(&p);
 	memset(&server, 0, sizeof(server));
 	server.status_field = field;
+	server.sign = sign;
 	for (i = 0; i < 10; i++) {
 		failures = 0;
 		fwd = fwd_new(FALSE);
@@ -373,7 +379,7 @@
  */
 START_TEST(refusals_reuse_the_connection)
 {
-	submit_failing("X-Primrosetide-Not-Executed", FAIL_REJECTED);
+	submit_failing("X-Primrosetide-Not-Executed", NULL, FAIL_REJECTED);
 	ck_assert_int_eq(server.connections, 1);
 }
 END_TEST
@@ -384,7 +390,18 @@
  */
 START_TEST(unsigned_successes_close_the_connection)
 {
-	submit_failing(NULL, FAIL_LOST);
+	submit_failing(NULL, NULL, FAIL_LOST);
+	ck_assert_int_eq(server.connections, 10);
+}
+END_TEST
+
+/*
+ * Guards against a late second copy of an answer that reaches the next caller
+ * on the connection: without the id of the attempt nothing tells whose it is.
+ */
+START_TEST(answers_without_the_id_are_not_delivered)
+{
+	submit_failing(NULL, "X-Primrosetide-Response-Signature", FAIL_LOST);
 	ck_assert_int_eq(server.connections, 10);
 }
 END_TEST
@@ -822,6 +839,7 @@
 	tcase_add_test(t, refused_connection_is_unreached);
 	tcase_add_test(t, refusals_reuse_the_connection);
 	tcase_add_test(t, unsigned_successes_close_the_connection);
+	tcase_add_test(t, answers_without_the_id_are_not_delivered);
 	tcase_add_test(t, running_server_is_adopted);
 	tcase_add_test(t, adoption_without_announcement_ends);
 	tcase_add_test(t, former_process_tells_that_its_server_left);
