Count the time of a suspended machine on the clock of the process

Cause: the clock stood still while a machine was suspended, so deadlines, adoptions and time-outs outlasted it; requests whose callers had gone were passed on with time left. Change: sys_clock reads CLOCK_BOOTTIME; tickers convert to the clock of the loop; adapter/h1 uses the same clock.

--- a/adapter/h1/conn.c
+++ b/adapter/h1/conn.c
@@ -126,7 +126,7 @@
 			break;
 		}
 		c->sent += n;
-		c->last_active = g_get_monotonic_time();
+		c->last_active = pt_now(&sys_clock);
 	}
 	if (c->sent == c->out->len) {
 		g_byte_array_set_size(c->out, 0);
@@ -194,7 +194,7 @@
 		}
 		if (n <= 0)
 			return FALSE;
-		c->last_active = g_get_monotonic_time();
+		c->last_active = pt_now(&sys_clock);
 		if (c->finishing)
 			continue;
 		g_byte_array_append(c->in, (const guint8 *)buf, n);
@@ -326,7 +326,7 @@
 	c->body_max = o->body_max;
 	c->in = g_byte_array_new();
 	c->out = g_byte_array_new();
-	c->last_active = g_get_monotonic_time();
+	c->last_active = pt_now(&sys_clock);
 	c->sock = sock;
 	h1_parse_init(c);
 	g_socket_set_blocking(sock, FALSE);
--- a/adapter/h1/h1.h
+++ b/adapter/h1/h1.h
@@ -122,11 +122,11 @@
 gboolean h1_reusable(const struct h1_conn *);
 /* Server: TRUE if no byte of a request has arrived since the last response. */
 gboolean h1_idle(const struct h1_conn *);
-/* g_get_monotonic_time() of the last byte read or written. */
+/* Time on sys_clock of the last byte read or written. */
 gint64 h1_last_active(const struct h1_conn *);
 /*
- * g_get_monotonic_time() of the first byte of the message being read; 0: none
- * is.  Bounds messages that arrive a byte at a time.
+ * Time on sys_clock of the first byte of the message being read; 0: none is.
+ * Bounds messages that arrive a byte at a time.
  */
 gint64 h1_begun(const struct h1_conn *);
 
--- a/adapter/h1/pool.c
+++ b/adapter/h1/pool.c
@@ -6,6 +6,7 @@
 #include <sys/queue.h>
 
 #include "port.h"
+#include "sysio.h"
 #include "rpcio.h"
 #include "h1.h"
 
@@ -141,7 +142,7 @@
 static gint64
 idle_time(const struct pconn *pc)
 {
-	return g_get_monotonic_time() - h1_last_active(pc->conn);
+	return pt_now(&sys_clock) - h1_last_active(pc->conn);
 }
 
 void
--- a/adapter/h1/server.c
+++ b/adapter/h1/server.c
@@ -144,7 +144,7 @@
 sweep(void *arg)
 {
 	struct h1_server *s = arg;
-	gint64 now = g_get_monotonic_time();
+	gint64 now = pt_now(&sys_clock);
 	struct h1_request *r, *next;
 	gint64 since;
 
--- a/adapter/sysio/clock.c
+++ b/adapter/sysio/clock.c
@@ -1,16 +1,25 @@
 #include <glib.h>
 #include <rpc/rpc.h>
+#include <time.h>
 
 #include "port.h"
 #include "sysio.h"
 
+/*
+ * Counts the time for which the machine is suspended, unlike the clock of
+ * GLib: a deadline or a permission must not outlast it.
+ */
 static gint64
-monotonic(void *ctx)
+now(void *ctx)
 {
-	return g_get_monotonic_time();
+	struct timespec t;
+
+	if (clock_gettime(CLOCK_BOOTTIME, &t) != 0)
+		return g_get_monotonic_time();
+	return (gint64)t.tv_sec * G_USEC_PER_SEC + t.tv_nsec / 1000;
 }
 
-const struct pt_clock sys_clock = { monotonic, NULL };
+const struct pt_clock sys_clock = { now, NULL };
 
 struct delayed_call {
 	void (*cb)(void *);
@@ -61,6 +70,13 @@
 	*id = 0;
 }
 
+/* Time of the loop's clock, which is GLib's, at a time of sys_clock. */
+static gint64
+loop_time(gint64 due)
+{
+	return g_get_monotonic_time() + MAX(due - now(NULL), 0);
+}
+
 struct sys_ticker {
 	gint64 (*tick)(void *);
 	void *arg;
@@ -76,7 +92,7 @@
 	due = t->tick(t->arg);
 	if (t->source != NULL)
 		g_source_set_ready_time(
-		    t->source, due == G_MAXINT64 ? -1 : due);
+		    t->source, due == G_MAXINT64 ? -1 : loop_time(due));
 	return G_SOURCE_CONTINUE;
 }
 
