Answer requests that arrived before a stop closes their port or connection

Cause: closing the listening socket resets connections that wait to be accepted, and a kept connection counted as idle although its next request had arrived and was not read; both callers got no answer. Change: the queue is accepted before the socket is closed; connections with unread bytes are not closed as idle. Ruled out: a request that crosses the close on its way, which the caller cannot tell from one before (not passed on). Test: requests_that_arrived_are_answered (100 callers) fails on the former code.

--- a/adapter/h1/conn.c
+++ b/adapter/h1/conn.c
@@ -515,3 +515,9 @@
 {
 	return c->parse.started ? c->parse.begun : 0;
 }
+
+gboolean
+h1_unread(const struct h1_conn *c)
+{
+	return !c->freed && g_socket_get_available_bytes(c->sock) > 0;
+}
--- a/adapter/h1/h1.h
+++ b/adapter/h1/h1.h
@@ -120,8 +120,10 @@
  * byte has arrived.
  */
 gboolean h1_reusable(const struct h1_conn *);
-/* Server: TRUE if no byte of a request has arrived since the last response. */
+/* Server: TRUE if no byte of a request was read since the last response. */
 gboolean h1_idle(const struct h1_conn *);
+/* TRUE if bytes wait in the socket. */
+gboolean h1_unread(const struct h1_conn *);
 /* Time on sys_clock of the last byte read or written. */
 gint64 h1_last_active(const struct h1_conn *);
 /*
--- a/adapter/rpcio/listen.c
+++ b/adapter/rpcio/listen.c
@@ -107,6 +107,13 @@
 	return l;
 }
 
+void
+rpcio_listen_drain(struct rpcio_listener *l)
+{
+	if (l->rd != NULL)
+		on_connection(l->sock, G_IO_IN, l);
+}
+
 guint
 rpcio_listen_local_port(const struct rpcio_listener *l)
 {
--- a/adapter/rpcio/rpcio.h
+++ b/adapter/rpcio/rpcio.h
@@ -152,4 +152,9 @@
 /* Starts listening after "bind_only"; connections are refused until then. */
 gboolean rpcio_listen_start(struct rpcio_listener *, GError **);
 guint rpcio_listen_local_port(const struct rpcio_listener *);
+/*
+ * Accepts the connections that wait in the queue of the socket: when it is
+ * closed they are reset, although the callers count them as accepted.
+ */
+void rpcio_listen_drain(struct rpcio_listener *);
 void rpcio_listen_free(struct rpcio_listener *);
--- a/cmd/ptproxy/ingress.c
+++ b/cmd/ptproxy/ingress.c
@@ -262,6 +262,8 @@
 void
 ingress_close_listener(struct ingress *in)
 {
+	if (in->listener != NULL)
+		rpcio_listen_drain(in->listener);
 	g_clear_pointer(&in->listener, rpcio_listen_free);
 }
 
@@ -272,7 +274,8 @@
 
 	for (c = LIST_FIRST(&in->conns); c != NULL; c = next) {
 		next = LIST_NEXT(c, entry);
-		if (c->request == NULL && h1_idle(c->conn)) {
+		if (c->request == NULL && h1_idle(c->conn) &&
+		    !h1_unread(c->conn)) {
 			LIST_REMOVE(c, entry);
 			h1_finish(c->conn);
 			g_free(c);
@@ -290,7 +293,7 @@
 	sys_cancel(&in->sweep_timer);
 	while ((c = LIST_FIRST(&in->conns)) != NULL)
 		conn_free(c);
-	ingress_close_listener(in);
+	g_clear_pointer(&in->listener, rpcio_listen_free);
 	g_free(in);
 }
 
--- a/test/ingress_test.c
+++ b/test/ingress_test.c
@@ -199,6 +199,38 @@
 }
 END_TEST
 
+#define CALLERS 100
+
+/*
+ * Guards against requests that are cut off without an answer as the process
+ * stops: on connections that wait to be accepted, and on kept ones whose next
+ * request has arrived and was not read yet.
+ */
+START_TEST(requests_that_arrived_are_answered)
+{
+	static const char text[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+	GSocket *s[CALLERS];
+	int i;
+
+	for (i = 0; i < CALLERS; i++) {
+		s[i] = loop_connect(HOST, port_of(0));
+		if (i % 2 == 0)
+			continue;
+		loop_send(s[i], text);
+		g_free(loop_expect(s[i], "\r\n\r\n"));
+	}
+	p.stopping = TRUE;
+	for (i = 0; i < CALLERS; i++)
+		loop_send(s[i], text);
+	ingress_close_listener(p.ingress);
+	ingress_close_idle(p.ingress);
+	for (i = 0; i < CALLERS; i++) {
+		g_free(loop_expect(s[i], "\r\n\r\n"));
+		loop_close(s[i]);
+	}
+}
+END_TEST
+
 int
 main(void)
 {
@@ -209,6 +241,7 @@
 	tcase_add_loop_test(t, bodies_are_bounded_together, 0, 2);
 	tcase_add_loop_test(t, endless_body_leaves_others_served, 0, 2);
 	tcase_add_test(t, slow_heads_time_out);
+	tcase_add_test(t, requests_that_arrived_are_answered);
 	suite_add_tcase(suite, t);
 	return suite_run(suite);
 }
