Tell a reader without the store who reads in its place; share one jitter

Cause: change_is_in_force_in_larger_meshes took 2,010 ms in one play of 60 nodes: readers went on asking random nodes although one had taken over, and that one stopped after 5 s. Change: a node that succeeds tells the reader, reads for 10 s and is asked again; until there is one a reader asks three nodes of its domain and one of another, after three rounds every other second. Two copies of the jitter become proxy_jitter(); a log line take-over. The test gains a mesh in which a single node of 30 reaches the store, and its fake store uses the caller's time-out instead of a constant.

--- a/cmd/ptproxy/discovery.c
+++ b/cmd/ptproxy/discovery.c
@@ -62,15 +62,6 @@
 static void read_page(struct discovery *, const char *after);
 static void write_self(void *);
 
-/* Adds jitter, so that nodes that started together do not call together. */
-static gint64
-jitter(const struct discovery *d, gint64 us)
-{
-	double x = 0.75 + g_rand_double(d->proxy->rand) / 2;
-
-	return (gint64)((double)us * x);
-}
-
 static void
 read_entries(struct discovery *d)
 {
@@ -101,7 +92,7 @@
 	gint64 age = pt_now(&d->proxy->clock) - d->read_at;
 	gboolean alone = memb_count(memb) <= 1;
 
-	d->check_timer = sys_after(jitter(d, CHECK_US), check, d);
+	d->check_timer = sys_after(proxy_jitter(d->proxy, CHECK_US), check, d);
 	if (memb_elected(memb, N_WRITERS))
 		d->writer_checks++;
 	else
@@ -159,7 +150,8 @@
 		.gossip_port = (int)set->first_port };
 	GBytes *b;
 
-	d->write_timer = sys_after(jitter(d, WRITE_US), write_self, d);
+	d->write_timer =
+	    sys_after(proxy_jitter(d->proxy, WRITE_US), write_self, d);
 	b = pt_encode((xdrproc_t)xdr_pt_seed, &s);
 	plat_store_put(d->proxy->store, plat_topic_nodes(), set->instance, b,
 	    CALL_MS, on_written, d);
@@ -203,7 +195,8 @@
 
 	d->proxy = p;
 	if (p->set->n_seeds > 0)
-		d->check_timer = sys_after(jitter(d, SEEDS_US), check, d);
+		d->check_timer =
+		    sys_after(proxy_jitter(d->proxy, SEEDS_US), check, d);
 	else
 		check(d);
 	return d;
--- a/cmd/ptproxy/members.c
+++ b/cmd/ptproxy/members.c
@@ -116,11 +116,16 @@
 }
 
 static void
-on_take_over(void *ctx)
+on_take_over(void *ctx, const char *from, gboolean done)
 {
 	struct proxy *p = ctx;
 
-	source_take_over(p->source);
+	if (p->source == NULL)
+		return;
+	if (done)
+		source_covered(p->source, from);
+	else
+		source_take_over(p->source, from);
 }
 
 void
--- a/cmd/ptproxy/proxy.c
+++ b/cmd/ptproxy/proxy.c
@@ -85,6 +85,14 @@
 	sys_ticker_kick(p->memb_ticker);
 }
 
+gint64
+proxy_jitter(const struct proxy *p, gint64 us)
+{
+	double x = 0.75 + g_rand_double(p->rand) / 2;
+
+	return (gint64)((double)us * x);
+}
+
 /* ---- settings that change ---- */
 
 void
--- a/cmd/ptproxy/proxy.h
+++ b/cmd/ptproxy/proxy.h
@@ -269,10 +269,12 @@
 /* Called each second: this node may have become a reader of the store. */
 void source_tick(struct source *);
 /*
- * Reads the store for a while: a reader that cannot reach it has asked this
- * node to.
+ * Reads the store for a while: the reader "from" cannot reach it and has asked
+ * this node to.
  */
-void source_take_over(struct source *);
+void source_take_over(struct source *, const char *from);
+/* The node "by" reads the store in the place of this one. */
+void source_covered(struct source *, const char *by);
 void source_table(
     struct source *, const struct pt_table_args *, struct pt_table_res *);
 
@@ -383,6 +385,11 @@
 /* Puts a configuration in force; takes over the reference. */
 void proxy_set_config(struct proxy *, struct rtab *);
 gboolean proxy_ready(const struct proxy *);
+/*
+ * A random time of 75 to 125 % of "us", so that nodes that started together do
+ * not call together.
+ */
+gint64 proxy_jitter(const struct proxy *, gint64 us);
 
 /* stop.c: graceful shutdown */
 void stop_begin(struct proxy *);
--- a/cmd/ptproxy/source.c
+++ b/cmd/ptproxy/source.c
@@ -47,9 +47,16 @@
 #define NOTIFY_MAX 8
 /*
  * A node reads for this long in the place of a reader that cannot reach the
- * store; the reader asks again each second.
+ * store, unless its own calls fail.
  */
-#define TAKE_OVER_US (5 * G_TIME_SPAN_SECOND)
+#define TAKE_OVER_US (10 * G_TIME_SPAN_SECOND)
+/* A reader asks that node again from this long before the end of its time. */
+#define ASK_AHEAD_US (5 * G_TIME_SPAN_SECOND)
+/* Nodes of its failure domain that it asks each second if it has none. */
+#define ASK_MAX 3
+/* After this many seconds in which none took over, it asks every other second.
+ */
+#define ASKS_QUICK 3
 /* Delay between two reads, so that quick changes are read together. */
 #define READ_GAP_US (600 * G_TIME_SPAN_MILLISECOND)
 /* Backoff after a failed call: doubles up to the maximum. */
@@ -77,8 +84,12 @@
 	guint failures;
 	gboolean fetching, closed;
 	gboolean reading; /* a call to the store is in progress */
-	gboolean nonreader; /* not one of the N_READERS */
+	gboolean nonreader; /* leaves the long poll to the N_READERS */
 	gint64 take_over_until; /* reads in the place of a reader */
+	char *asked_by; /* that reader, until a call has succeeded */
+	char *covered_by; /* node that reads in the place of this one */
+	gint64 covered_until;
+	guint asks; /* rounds since a node took over or the store was lost */
 	guint empty_fetches; /* fetches in a row without a newer version */
 	gboolean store_down; /* the last call to the store failed */
 	guint refs;
@@ -94,6 +105,8 @@
 		return;
 	if (s->packed != NULL)
 		g_bytes_unref(s->packed);
+	g_free(s->asked_by);
+	g_free(s->covered_by);
 	g_free(s);
 }
 
@@ -212,29 +225,62 @@
 	read_store(s);
 }
 
+/*
+ * A reader without the store has others read in its place: the one that does
+ * so already, or random ones.
+ */
+static void
+ask_others(struct source *s)
+{
+	struct memb *memb = s->proxy->memb;
+	gint64 left = s->covered_until - pt_now(&s->proxy->clock);
+
+	if (!s->store_down || !memb_elected(memb, N_READERS) ||
+	    left > ASK_AHEAD_US)
+		return;
+	if (left > 0) {
+		memb_take_over(memb, s->covered_by, FALSE);
+		s->asks = 0;
+	} else if (++s->asks <= ASKS_QUICK || s->asks % 2 == 0)
+		memb_ask_take_over(memb, ASK_MAX);
+}
+
+static void
+tell_asker(struct source *s)
+{
+	if (s->asked_by != NULL)
+		memb_take_over(s->proxy->memb, s->asked_by, TRUE);
+	g_clear_pointer(&s->asked_by, g_free);
+}
+
 void
 source_tick(struct source *s)
 {
 	check_reader(s);
-	if (s->store_down && memb_elected(s->proxy->memb, N_READERS))
-		memb_ask_take_over(s->proxy->memb);
+	ask_others(s);
 }
 
 void
-source_take_over(struct source *s)
+source_covered(struct source *s, const char *by)
 {
-	if (s == NULL)
+	if (!s->store_down)
 		return;
-	s->take_over_until = pt_now(&s->proxy->clock) + TAKE_OVER_US;
-	check_reader(s);
+	g_free(s->covered_by);
+	s->covered_by = g_strdup(by);
+	s->covered_until = pt_now(&s->proxy->clock) + TAKE_OVER_US;
 }
 
-/* Adds jitter, so that nodes that started together do not call together. */
-static gint64
-jitter(const struct source *s, gint64 us)
+void
+source_take_over(struct source *s, const char *from)
 {
-	return (
-	    gint64)((double)us * (0.75 + g_rand_double(s->proxy->rand) / 2));
+	g_free(s->asked_by);
+	s->asked_by = g_strdup(from);
+	if (!is_reader(s))
+		pt_event(&s->proxy->events, PT_LEVEL_INFO, "take-over",
+		    "time_ms=%" G_GINT64_FORMAT,
+		    TAKE_OVER_US / G_TIME_SPAN_MILLISECOND);
+	s->take_over_until = pt_now(&s->proxy->clock) + TAKE_OVER_US;
+	check_reader(s);
 }
 
 static gint64
@@ -247,7 +293,7 @@
 
 	while ((m = memb_next_in_domain(memb, domain, m)) != NULL)
 		n += memb_present(m);
-	return jitter(s, MAX(NONREADER_US, n * NONREADER_GAP_US));
+	return proxy_jitter(s->proxy, MAX(NONREADER_US, n * NONREADER_GAP_US));
 }
 
 /* Delay of the next read of the store after a successful one. */
@@ -256,7 +302,7 @@
 {
 	s->nonreader = !is_reader(s);
 	if (s->nonreader && s->proxy->rtab == NULL)
-		return jitter(s, NO_CONFIG_US);
+		return proxy_jitter(s->proxy, NO_CONFIG_US);
 	if (s->nonreader)
 		return nonreader_delay(s);
 	return s->next >= 0 && r->records->len > 0 ? READ_GAP_US : 0;
@@ -272,10 +318,14 @@
 	if (!s->store_down)
 		pt_event(&s->proxy->events, PT_LEVEL_WARNING, "store-lost",
 		    "text=\"%s\"", err->message);
-	if (!s->store_down && memb_elected(s->proxy->memb, N_READERS))
-		memb_ask_take_over(s->proxy->memb);
-	s->store_down = TRUE;
+	if (!s->store_down) {
+		s->store_down = TRUE;
+		s->covered_until = 0;
+		s->asks = 0;
+		ask_others(s);
+	}
 	s->take_over_until = 0;
+	g_clear_pointer(&s->asked_by, g_free);
 	/* The readers find out when the store is back. */
 	s->nonreader = s->proxy->rtab != NULL && !is_reader(s);
 	if (s->nonreader)
@@ -294,6 +344,7 @@
 		    "failures=%u", s->failures);
 	s->store_down = FALSE;
 	s->failures = 0;
+	tell_asker(s);
 }
 
 static void
@@ -342,7 +393,8 @@
 static void
 read_next(struct source *s)
 {
-	guint wait = is_reader(s) ? WAIT_MS : 0;
+	/* A reader that asked is to hear soon whether this node succeeds. */
+	guint wait = is_reader(s) && s->asked_by == NULL ? WAIT_MS : 0;
 
 	s->reading = TRUE;
 	plat_store_read(s->proxy->store, plat_topic_config(), s->next, wait,
@@ -487,7 +539,8 @@
 	s->next = -1;
 	s->nonreader = p->set->first_start && p->set->n_seeds > 0;
 	if (s->nonreader)
-		s->timer = sys_after(jitter(s, FIRST_READ_US), read_store, s);
+		s->timer =
+		    sys_after(proxy_jitter(p, FIRST_READ_US), read_store, s);
 	else
 		read_newest(s);
 	return s;
--- a/core/memb/memb.c
+++ b/core/memb/memb.c
@@ -120,9 +120,11 @@
 		memb_handle_ping_req(m, g);
 		break;
 	case PT_SPREAD:
-		if (strcmp(g->target, MEMB_TAKE_OVER) == 0 &&
-		    m->o.take_over != NULL)
-			m->o.take_over(m->o.ctx);
+		if (m->o.take_over != NULL &&
+		    (strcmp(g->target, MEMB_TAKE_OVER) == 0 ||
+			strcmp(g->target, MEMB_TOOK_OVER) == 0))
+			m->o.take_over(m->o.ctx, g->from,
+			    strcmp(g->target, MEMB_TOOK_OVER) == 0);
 		break;
 	default:
 		m->stats.malformed++;
--- a/core/memb/memb.h
+++ b/core/memb/memb.h
@@ -49,8 +49,11 @@
 	 * called again only for a newer announcement.  May be NULL.
 	 */
 	void (*former)(void *ctx, const struct pt_member *);
-	/* Another member sent memb_ask_take_over().  May be NULL. */
-	void (*take_over)(void *ctx);
+	/*
+	 * The member "from" asked this instance to take over or, "done", has
+	 * done so for it.  May be NULL.
+	 */
+	void (*take_over)(void *ctx, const char *from, gboolean done);
 	void *ctx;
 };
 
@@ -152,10 +155,12 @@
 /* Sends it to a random member of each other failure domain. */
 void memb_send_position_abroad(struct memb *);
 /*
- * Asks a random member of this failure domain, and one of another, to take over
- * a task that this instance was elected for and cannot do.
+ * Asks "n" random members of this failure domain, and one of another, to take
+ * over a task that this instance was elected for and cannot do.
  */
-void memb_ask_take_over(struct memb *);
+void memb_ask_take_over(struct memb *, guint n);
+/* Asks one member, or tells it that this instance has taken over. */
+void memb_take_over(struct memb *, const char *instance, gboolean done);
 /*
  * This instance is one of the "n" live members of its failure domain with the
  * highest priority.
@@ -213,8 +218,9 @@
 #define MEMB_INCARNATION_MAX (G_MAXINT64 / 2)
 /* A tick this late means that the process was paused. */
 #define MEMB_PAUSE_US (700 * MEMB_MS)
-/* Target of a PT_SPREAD that asks its receiver to take over. */
+/* Targets of a PT_SPREAD that asks its receiver to take over, or tells so. */
 #define MEMB_TAKE_OVER "take-over"
+#define MEMB_TOOK_OVER "took-over"
 #define MEMB_NOT_IN_ORDER G_MAXUINT32 /* order_index: not probed in turn */
 
 LIST_HEAD(memb_list, memb_entry);
--- a/core/memb/role.c
+++ b/core/memb/role.c
@@ -80,19 +80,27 @@
 }
 
 void
-memb_ask_take_over(struct memb *m)
+memb_take_over(struct memb *m, const char *instance, gboolean done)
+{
+	send_to(m, memb_lookup(m, instance),
+	    done ? MEMB_TOOK_OVER : MEMB_TAKE_OVER);
+}
+
+void
+memb_ask_take_over(struct memb *m, guint n)
 {
 	struct memb_group *other = NULL;
 	GHashTableIter it;
+	guint n_other = 0;
 	gpointer g;
-	guint n = 0;
 
 	g_hash_table_iter_init(&it, m->domains);
 	while (g_hash_table_iter_next(&it, NULL, &g))
 		if (g != m->self->domain &&
-		    g_rand_int_range(m->o.rand, 0, (gint32)++n) == 0)
+		    g_rand_int_range(m->o.rand, 0, (gint32)++n_other) == 0)
 			other = g;
-	send_to(m, random_in(m, m->self->domain), MEMB_TAKE_OVER);
+	while (n-- > 0)
+		send_to(m, random_in(m, m->self->domain), MEMB_TAKE_OVER);
 	if (other != NULL)
 		send_to(m, random_in(m, other), MEMB_TAKE_OVER);
 }
--- a/rpc/pt.x
+++ b/rpc/pt.x
@@ -177,7 +177,8 @@
 	pt_name from;
 	/*
 	 * Instance probed (PING, PING_REQ) or that replied (ACK); SPREAD: empty,
-	 * or "take-over" if the sender asks the receiver to read in its place.
+	 * "take-over" if the sender asks the receiver to read in its place, or
+	 * "took-over" if the sender does so for the receiver.
 	 */
 	pt_name target;
 	hyper position;		/* configuration position of the sender */
--- a/test/source_test.c
+++ b/test/source_test.c
@@ -31,8 +31,6 @@
 #define RECOVERY_US (2 * SECOND)
 /* Most calls per second that one node may make to a faulty store. */
 #define CALLS_PER_SECOND 4
-/* Longest time until a node notices that the store leaves a poll open. */
-#define POLL_TIMEOUT_US (5 * SECOND)
 
 /* ---- clock ---- */
 
@@ -162,6 +160,7 @@
 	gboolean newest, config;
 	guint from;
 	guint timer;
+	gint64 expires; /* the caller's time-out */
 	GError *err;
 };
 
@@ -254,6 +253,7 @@
 	gint64 delay = store.delay;
 
 	store.calls++;
+	c->expires = now_us + timeout_ms * MS;
 	c->from_node = s;
 	if (fault == UP) {
 		if (wait_ms > 0 && c->from >= store.n - store.rewind) {
@@ -286,14 +286,12 @@
 			continue;
 		LIST_REMOVE(c, poll);
 		c->err = g_error_new(PT_ERROR, PT_ERROR_UNKNOWN, "cut");
-		/* A silent store leaves the connection open. */
-		if (fault_of(c->from_node) != SILENT || store.cut == NULL) {
-			sys_cancel(&c->timer);
-			c->timer = sys_after(0, respond, c);
-			continue;
-		}
 		sys_cancel(&c->timer);
-		c->timer = sys_after(POLL_TIMEOUT_US, respond, c);
+		/* For a few nodes, a silent store leaves connections open. */
+		if (fault_of(c->from_node) == SILENT && store.cut != NULL)
+			c->timer = sys_after(c->expires - now_us, respond, c);
+		else
+			c->timer = sys_after(0, respond, c);
 	}
 }
 
@@ -1006,7 +1004,8 @@
 START_TEST(change_is_in_force_in_larger_meshes)
 {
 	static const enum fault kinds[] = { DOWN, SILENT };
-	const guint n = _i == 0 ? 14 : 60, domains = _i == 0 ? 3 : 5;
+	static const guint sizes[][2] = { { 14, 3 }, { 60, 5 }, { 30, 5 } };
+	const guint n = sizes[_i][0], domains = sizes[_i][1];
 	GRand *rand = g_rand_new_with_seed(17);
 	gint64 version = 6, took, share;
 	guint64 served;
@@ -1014,8 +1013,8 @@
 
 	mesh_start(n, domains);
 	for (k = 0; k < 100; k++) {
-		/* 5 to 50 percent of the nodes, one at least. */
-		share = g_rand_int_range(rand, 5, 51);
+		/* 5 to 50 percent of the nodes, one at least; last: one. */
+		share = _i == 2 ? 0 : g_rand_int_range(rand, 5, 51);
 		served = G_GUINT64_CONSTANT(1) << g_rand_int_range(rand, 0, n);
 		for (i = 0; i < n; i++)
 			if (g_rand_int_range(rand, 0, 100) < share)
@@ -1101,7 +1100,7 @@
 	t = tcase_create("mesh");
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_test(t, change_is_in_force_where_few_reach_the_store);
-	tcase_add_loop_test(t, change_is_in_force_in_larger_meshes, 0, 2);
+	tcase_add_loop_test(t, change_is_in_force_in_larger_meshes, 0, 3);
 	tcase_add_test(t, few_nodes_keep_an_entry);
 	suite_add_tcase(suite, t);
 	t = tcase_create("calls");
