--- a/test/dist_test.c
+++ b/test/dist_test.c
@@ -295,11 +295,12 @@
 		PT_VERSION_REFUSED };
 	const guint64 *reads;
 	struct fn *f;
-	struct held h;
+	struct held h, parent;
 	guint i, n;
 
 	for (i = 0; i < G_N_ELEMENTS(refusals); i++) {
 		f = start_one();
+		memset(&parent, 0, sizeof(parent));
 		reads = dist_stats(f->nodes[0].dist)->log_requests;
 		h = next_call(f, PT_SYNC);
 		answer_status(&h, PT_SYNC_BUSY);
@@ -308,10 +309,13 @@
 			if (h.once) {
 				answer_status(&h, refusals[i]);
 				n++;
-			}
+			} else
+				parent = h;
 		}
 		fn_run(f, 2 * FN_US);
 		ck_assert_uint_eq(reads[DIST_LOG_DIRECT], 0);
+		if (parent.cb != NULL)
+			answer_records(&parent, 1, 2);
 		stop_one(f);
 	}
 	f = start_one();
