--- a/test/source_test.c
+++ b/test/source_test.c
@@ -495,6 +495,30 @@
 	p.adopt = adopt_new(&p);
 }
 
+static void mesh_deliver(void *);
+
+struct message {
+	struct mesh_node *to;
+	GBytes *data;
+};
+
+/* Frees what the callback of a timer would have freed. */
+static void
+drop_timer(struct timer *t)
+{
+	struct message *m = t->arg;
+	struct pending *c = t->arg;
+
+	if (t->cb == mesh_deliver) {
+		g_bytes_unref(m->data);
+		g_free(m);
+	} else if (t->cb == respond || t->cb == poll_timeout) {
+		g_clear_error(&c->err);
+		g_free(c);
+	}
+	g_free(t);
+}
+
 static void
 teardown(void)
 {
@@ -504,7 +528,7 @@
 	discovery_free(p.discovery);
 	while ((t = TAILQ_FIRST(&timers)) != NULL) {
 		TAILQ_REMOVE(&timers, t, entry);
-		g_free(t);
+		drop_timer(t);
 	}
 	adopt_free(p.adopt);
 	backend_free(p.backend);
@@ -746,11 +770,6 @@
 static struct mesh_node mesh[MESH_MAX];
 static guint n_mesh;
 
-struct message {
-	struct mesh_node *to;
-	GBytes *data;
-};
-
 static struct mesh_node *
 mesh_by_host(const char *host)
 {
