Do not time out a request that waits in the buffer

Cause: since the time-out of a head counts from its first byte; a request that arrives while the former one on its connection runs has no head begun, and was answered 408 if the check came before the parser. Found by reading the change. Test: next_request_in_the_buffer_does_not_time_out fails without the change.

--- a/cmd/ptproxy/ingress.c
+++ b/cmd/ptproxy/ingress.c
@@ -216,7 +216,7 @@
 sweep(void *arg)
 {
 	struct ingress *in = arg;
-	gint64 now = pt_now(&in->proxy->clock), age;
+	gint64 now = pt_now(&in->proxy->clock), age, begun;
 	gint64 head = HEAD_US, idle = IDLE_US;
 	const struct rtab_limits *l;
 	struct caller_conn *c, *next;
@@ -230,11 +230,12 @@
 	for (c = LIST_FIRST(&in->conns); c != NULL; c = next) {
 		next = LIST_NEXT(c, entry);
 		age = now - h1_last_active(c->conn);
+		begun = h1_begun(c->conn);
 		if (h1_idle(c->conn) && c->request == NULL) {
 			if (age > idle)
 				conn_free(c);
 		} else if (c->request == NULL
-			       ? now - h1_begun(c->conn) > head
+			       ? begun != 0 && now - begun > head
 			       : !c->complete &&
 				     (age > idle ||
 					 request_overdue(c->request, now)))
--- a/test/ingress_test.c
+++ b/test/ingress_test.c
@@ -199,6 +199,138 @@
 }
 END_TEST
 
+/* ---- a backend server that responds when the test says so ---- */
+
+static GSocket *listener;
+static struct pt_dgram dgram_iface;
+
+static void
+no_dgram(void *ctx, const char *host, guint port, const void *data, gsize len)
+{
+}
+
+static gint64
+no_tick(void *arg)
+{
+	return G_MAXINT64;
+}
+
+static void
+serving_setup(void)
+{
+	struct pt_member self = { .instance = (char *)(guintptr) "self",
+		.incarnation = 1,
+		.started = 1,
+		.state = PT_SERVING,
+		.host = (char *)(guintptr)HOST,
+		.rpc_port = 1,
+		.gossip_port = 1,
+		.http_port = 1,
+		.domain = (char *)(guintptr) "z",
+		.region = (char *)(guintptr) "r",
+		.service = (char *)(guintptr) "svc",
+		.slots = 1 };
+	struct memb_opts mo = { .self = &self,
+		.clock = &p.clock,
+		.dgram = &dgram_iface,
+		.rpc = &p.rpc,
+		.events = &p.events };
+	struct lb_member u = { "self", "z", 1, 1, PT_SERVING };
+	struct lb_service_opts lo = { .eject_max = 50, .by_time = TRUE };
+	struct reg_announce ann = { .id = "i-1",
+		.service = "svc",
+		.address = "",
+		.slots = 1,
+		.state = REG_SERVING };
+	struct rtab_part part = { (char *)(guintptr) "svc", 1 };
+	struct rtab_route route = { .name = (char *)(guintptr) "r",
+		.host = (char *)(guintptr) "h",
+		.prefix = (char *)(guintptr) "/s/",
+		.timeout = 20 * G_TIME_SPAN_SECOND,
+		.target = 20 * G_TIME_SPAN_SECOND,
+		.attempts = 1,
+		.parts = &part,
+		.n_parts = 1 };
+
+	setup();
+	listener = rpcio_bind(G_SOCKET_TYPE_STREAM, HOST, 0, TRUE, NULL);
+	set.backend.host = (char *)(guintptr)HOST;
+	set.backend.port = rpcio_local_port(listener);
+	rtab_unref(p.rtab);
+	p.rtab = table_new();
+	rtab_add_route(p.rtab, &route);
+	ck_assert(rtab_build(p.rtab, NULL));
+	dgram_iface.send = no_dgram;
+	p.rand = mo.rand = g_rand_new_with_seed(1);
+	p.memb = memb_new(&mo);
+	p.memb_ticker = sys_ticker_new(no_tick, NULL);
+	p.lb = lb_new(&(struct lb_opts){ .clock = sys_clock,
+	    .rand = p.rand,
+	    .domain = "z",
+	    .events = &p.events });
+	lb_set(p.lb, "svc", &lo, &u, 1);
+	p.wrr = rtab_wrr_new(p.rand);
+	p.sizes = cost_new();
+	p.retry_times = retry_times_new();
+	ck_assert_int_eq(reg_announce(p.reg, &ann), REG_NEW);
+	backend_update(p.backend);
+}
+
+static void
+serving_teardown(void)
+{
+	g_clear_pointer(&p.ingress, ingress_free);
+	loop_close(listener);
+	retry_times_free(p.retry_times);
+	cost_free(p.sizes);
+	rtab_wrr_free(p.wrr);
+	teardown();
+	lb_free(p.lb);
+	sys_ticker_free(p.memb_ticker);
+	memb_free(p.memb);
+	g_rand_free(p.rand);
+}
+
+/*
+ * Guards against a time-out of a request that arrived while the former one on
+ * its connection ran: it waits in the buffer, and no head has begun when the
+ * time-outs are checked.
+ */
+START_TEST(next_request_in_the_buffer_does_not_time_out)
+{
+	static const char text[] = "GET /s/ HTTP/1.1\r\nHost: "
+				   "h\r\nX-Primrosetide-Attempt-Id: a\r\n\r\n";
+	static const char answer[] =
+	    "HTTP/1.1 200 OK\r\nX-Primrosetide-Attempt-Id: a\r\n"
+	    "X-Primrosetide-Response-Signature: s\r\nContent-Length: "
+	    "2\r\n\r\nok";
+	GSocket *s = loop_connect(HOST, port_of(0)), *b = NULL;
+	char *got;
+	int i;
+
+	loop_send(s, text);
+	UNTIL((b = g_socket_accept(listener, NULL, NULL)) != NULL);
+	g_socket_set_blocking(b, FALSE);
+	for (i = 0; i < 3; i++) {
+		g_free(loop_expect(b, "\r\n\r\n"));
+		loop_send(s, text);
+		LOOP_IDLE();
+		/* The check is due in the turn in which the answer arrives. */
+		g_usleep(600 * 1000);
+		loop_send(b, answer);
+		got = loop_expect(s, "\r\n\r\n");
+		ck_assert_ptr_nonnull(strstr(got, " 200 "));
+		ck_assert_ptr_null(strstr(got, " 408 "));
+		g_free(got);
+	}
+	/* The last request reached the server, and nothing was refused. */
+	g_free(loop_expect(b, "\r\n\r\n"));
+	loop_close(s);
+	LOOP_IDLE();
+	loop_close(b);
+}
+END_TEST
+
 #define CALLERS 100
 
 /*
@@ -243,5 +375,9 @@
 	tcase_add_test(t, slow_heads_time_out);
 	tcase_add_test(t, requests_that_arrived_are_answered);
 	suite_add_tcase(suite, t);
+	t = tcase_create("serving");
+	tcase_add_checked_fixture(t, serving_setup, serving_teardown);
+	tcase_add_test(t, next_request_in_the_buffer_does_not_time_out);
+	suite_add_tcase(suite, t);
 	return suite_run(suite);
 }
