--- a/cmd/ptproxy/source.c
+++ b/cmd/ptproxy/source.c
@@ -54,8 +54,7 @@
 #define ASK_AHEAD_US (5 * G_TIME_SPAN_SECOND)
 /* Nodes of its failure domain that it asks each second if it has none. */
 #define ASK_MAX 3
-/* After this many seconds in which none took over, it asks every other second.
- */
+/* Seconds without a taker after which it asks every other second. */
 #define ASKS_QUICK 3
 /* Delay between two reads, so that quick changes are read together. */
 #define READ_GAP_US (600 * G_TIME_SPAN_MILLISECOND)
