--- a/cmd/ptnode/backend.c
+++ b/cmd/ptnode/backend.c
@@ -1,6 +1,7 @@
 #include <glib.h>
 #include <gio/gio.h>
 #include <json-glib/json-glib.h>
+#include <math.h>
 #include <sys/queue.h>
 #include <rpc/rpc.h>
 #include <string.h>
@@ -61,6 +62,22 @@
 	return n >= 1 && n <= max;
 }
 
+/* The member may be absent: no limit. */
+static gboolean
+get_limit(JsonObject *o, double *out)
+{
+	JsonNode *v = json_object_get_member(o, "limit");
+	GType type = v != NULL ? json_node_get_value_type(v) : G_TYPE_INVALID;
+
+	*out = -1;
+	if (v == NULL)
+		return TRUE;
+	if (type != G_TYPE_INT64 && type != G_TYPE_DOUBLE)
+		return FALSE;
+	*out = json_node_get_double(v);
+	return isfinite(*out) && *out >= 0;
+}
+
 static gboolean
 get_state(JsonObject *o, enum pt_state *out)
 {
@@ -130,6 +147,9 @@
 	if (!get_int(o, "connections", CONNECTIONS_MAX, &b->connections))
 		return bad_member(
 		    err, "connections", "give a whole number from 1 to 65535");
+	if (!get_limit(o, &b->limit))
+		return bad_member(err, "limit",
+		    "give requests a second from 0, or leave it out");
 	if (!get_state(o, &b->state))
 		return bad_member(
 		    err, "state", "give warming, serving or draining");
@@ -145,7 +165,7 @@
 	gboolean same;
 
 	same = old->service != NULL && old->state == b->state &&
-	       old->slots == b->slots &&
+	       old->slots == b->slots && old->limit == b->limit &&
 	       strcmp(old->service, b->service) == 0 &&
 	       strcmp(old->url, b->url) == 0;
 	g_free(old->service);
@@ -155,8 +175,8 @@
 	if (same)
 		return;
 	pt_event(&n->events, PT_LEVEL_INFO, "backend",
-	    "service=%s url=%s slots=%d state=%d", b->service, b->url, b->slots,
-	    b->state);
+	    "service=%s url=%s slots=%d limit=%.3f state=%d", b->service,
+	    b->url, b->slots, b->limit, b->state);
 	backend_publish_state(n);
 }
 
--- a/cmd/ptnode/node.h
+++ b/cmd/ptnode/node.h
@@ -16,6 +16,7 @@
 	char *url;
 	int slots;
 	int connections;
+	double limit; /* requests a second from all nodes, -1: no limit */
 	enum pt_state state;
 	gint64 announced_at; /* time of the last announcement, in us */
 };
--- a/cmd/ptnode/upstream.c
+++ b/cmd/ptnode/upstream.c
@@ -123,6 +123,8 @@
 	j->upstream->busy_us += (guint64)(pt_now(&j->upstream->node->clock) -
 					  j->adm_job.started_at);
 	adm_finish(j->upstream->adm, &j->adm_job);
+	if (adm_queued(j->upstream->adm) > 0)
+		sys_ticker_kick(j->upstream->ticker);
 }
 
 static enum pt_state
@@ -685,7 +687,9 @@
 		state = n->stopping || n->operator_drain ? PT_DRAINING
 							 : n->backend.state;
 	adm_state(u->adm, state);
+	adm_limit(u->adm, u->backend != NULL ? n->backend.limit : -1);
 	adm_slots(u->adm, u->backend != NULL ? n->backend.slots : 0);
+	sys_ticker_kick(u->ticker);
 }
 
 struct upstream *
--- a/cmd/ptproxy/adopt.c
+++ b/cmd/ptproxy/adopt.c
@@ -28,8 +28,6 @@
 #define RETRY_US (400 * G_TIME_SPAN_MILLISECOND)
 /* Most queries: they take about as long as one interval of announcements. */
 #define PROBES_MAX 3
-/* Largest body of a response, in bytes. */
-#define BODY_MAX 4096
 /* Slots assumed if no other upstream of the service is known. */
 #define SLOTS_DEFAULT 4
 
@@ -95,6 +93,7 @@
 	if (h != NULL)
 		plat_response_read(h, &r);
 	adopted = h != NULL && h->status == 200 && r.instance_id != NULL &&
+		  !r.leaving &&
 		  reg_adopt(p->reg, r.instance_id, guess_slots(p));
 	pt_event(&p->events, PT_LEVEL_INFO, "backend-asked",
 	    "id=%s status=%d taken=%d slots=%d text=\"%s\"",
@@ -102,6 +101,7 @@
 	    h != NULL ? h->status : 0, adopted, reg_slots(p->reg),
 	    err != NULL ? err->message : "");
 	if (adopted) {
+		statements_answered(p->statements, reg_process(p->reg), &r);
 		backend_update(p->backend);
 		members_announce(p);
 		a->timer =
@@ -114,26 +114,12 @@
 adopt_query(struct adopt *a)
 {
 	struct proxy *p = a->proxy;
-	const struct rtab_service *s;
-	GString *text;
-	GBytes *b;
 
 	if (reg_id(p->reg) != NULL || reg_left_before(p->reg) || p->stopping ||
-	    p->rtab == NULL || a->fetch != NULL || a->timer != 0 ||
-	    a->probes == PROBES_MAX)
+	    a->fetch != NULL || a->timer != 0 || a->probes == PROBES_MAX)
 		return;
-	s = rtab_service(p->rtab, p->set->service);
-	if (s == NULL)
-		return;
-	a->probes++;
-	text = g_string_new(NULL);
-	h1_put_request(text, "GET", s->health_path);
-	h1_put(text, "Host", p->set->backend.host);
-	h1_put_end(text);
-	b = g_string_free_to_bytes(text);
-	a->fetch = h1_fetch_new(
-	    backend_pool(p->backend), b, PROBE_MS, BODY_MAX, on_response, a);
-	g_bytes_unref(b);
+	a->fetch = backend_query(p->backend, PROBE_MS, on_response, a);
+	a->probes += a->fetch != NULL;
 }
 
 struct adopt *
--- a/cmd/ptproxy/backend.c
+++ b/cmd/ptproxy/backend.c
@@ -39,6 +39,8 @@
  * this: they cannot be retried if the server is just closing the connection.
  */
 #define ONCE_IDLE_MS 3000
+/* Largest body of an answer about the server's health, in bytes. */
+#define HEALTH_BODY_MAX 4096
 
 struct backend {
 	struct proxy *proxy;
@@ -63,6 +65,7 @@
 	const struct xchg_ops *ops; /* NULL: cancelled by the submitter */
 	void *ctx;
 	struct h1_call *call;
+	guint process; /* the server's, see reg_process() */
 	guint timer;
 	char *why; /* reason of a failure that is reported later, or NULL */
 	int retry_ms;
@@ -88,6 +91,16 @@
 	memcpy(r->wait_ms, r->load.wait_ms.wait_ms_val, sizeof(r->wait_ms));
 	r->load.wait_ms.wait_ms_val = r->wait_ms;
 	r->cost = route != NULL ? cost_get(b->cost, route) : 0;
+	r->limit = reg_limit(b->proxy->reg);
+}
+
+/* Frees the slot of a run; others may start, now or when they are due. */
+static void
+end_run(struct run *r)
+{
+	adm_finish(r->backend->adm, &r->job);
+	if (adm_queued(r->backend->adm) > 0)
+		sys_ticker_kick(r->backend->ticker);
 }
 
 /* Logs the end of a run with its times and the load of admission. */
@@ -170,6 +183,7 @@
 		h1_call_no_reuse(r->call);
 		return TRUE;
 	}
+	statements_answered(r->backend->proxy->statements, r->process, &p);
 	if (p.not_run || (h->status < 300 && !p.is_signed)) {
 		r->why = g_strdup(p.not_run ? "backend-refused" : "unsigned");
 		/* A refusal with the attempt's id keeps the connection. */
@@ -200,7 +214,7 @@
 	const struct xchg_ops *ops = r->ops;
 
 	r->call = NULL;
-	adm_finish(r->backend->adm, &r->job);
+	end_run(r);
 	if (r->why != NULL) {
 		run_fail(r,
 		    strcmp(r->why, "backend-refused") == 0 ? FAIL_REJECTED
@@ -247,7 +261,7 @@
 	pt_event(&b->proxy->events, PT_LEVEL_WARNING, "backend-failed",
 	    "id=%s sent=%d end=%d text=\"%s\"", r->fwd->attempt_id, sent,
 	    (int)end, why);
-	adm_finish(b->adm, &r->job);
+	end_run(r);
 	run_fail(r, sent ? FAIL_LOST : FAIL_REFUSED,
 	    sent ? "backend-lost" : "backend-down", 0);
 }
@@ -263,7 +277,7 @@
 	r->timer = 0;
 	h1_call_cancel(r->call);
 	r->call = NULL;
-	adm_finish(r->backend->adm, &r->job);
+	end_run(r);
 	run_fail(r, FAIL_LOST, "deadline", 0);
 }
 
@@ -314,6 +328,7 @@
 	fwd_put_head(s, r->fwd);
 	plat_request_put(s, &fields);
 	o.request = fwd_finish(s, r->fwd);
+	r->process = reg_process(b->proxy->reg);
 	budget_count_run(b->proxy->budget, r->fwd->repeat);
 	r->call = h1_call_new(backend_pool(b), &o);
 	g_bytes_unref(o.request);
@@ -431,6 +446,7 @@
 		b->try_at = 0;
 	}
 	adm_slots(b->adm, reg_slots(p->reg));
+	adm_limit(b->adm, reg_limit(p->reg));
 	adm_state(b->adm, open ? PT_SERVING : PT_LEFT);
 	if (!open)
 		adm_drop_all(b->adm, ADM_NOT_SERVING);
@@ -500,7 +516,7 @@
 		return;
 	h1_call_cancel(r->call);
 	r->call = NULL;
-	adm_finish(r->backend->adm, &r->job);
+	end_run(r);
 	log_run(r, "cancelled");
 	run_free(r);
 }
@@ -520,6 +536,36 @@
 	return adm_running(b->adm) + adm_queued(b->adm);
 }
 
+guint
+backend_running(const struct backend *b)
+{
+	return adm_running(b->adm);
+}
+
+struct h1_fetch *
+backend_query(struct backend *b, guint timeout_ms, h1_fetch_cb cb, void *ctx)
+{
+	const struct plat_settings *set = b->proxy->set;
+	const struct rtab_service *s = NULL;
+	struct h1_fetch *f;
+	GString *text;
+	GBytes *request;
+
+	if (b->proxy->rtab != NULL)
+		s = rtab_service(b->proxy->rtab, set->service);
+	if (s == NULL)
+		return NULL;
+	text = g_string_new(NULL);
+	h1_put_request(text, "GET", s->health_path);
+	h1_put(text, "Host", set->backend.host);
+	h1_put_end(text);
+	request = g_string_free_to_bytes(text);
+	f = h1_fetch_new(
+	    backend_pool(b), request, timeout_ms, HEALTH_BODY_MAX, cb, ctx);
+	g_bytes_unref(request);
+	return f;
+}
+
 guint64
 backend_connections(const struct backend *b)
 {
--- a/cmd/ptproxy/inbound.c
+++ b/cmd/ptproxy/inbound.c
@@ -52,6 +52,7 @@
 	struct pace_job job; /* of a large response */
 	struct fwd *fwd;
 	gsize total; /* bytes of the response's body */
+	gboolean told; /* the request said what its sender has heard */
 	gboolean busy, chunked, bodyless;
 	gboolean begun; /* part of the response was sent */
 	gboolean large; /* queued for the link */
@@ -77,6 +78,7 @@
 	if (c->busy)
 		c->inbound->busy--;
 	c->busy = c->begun = c->chunked = c->bodyless = FALSE;
+	c->told = FALSE;
 	c->large = c->ended = FALSE;
 	c->total = 0;
 }
@@ -195,6 +197,28 @@
 		report->cost += pace_wait(c->inbound->pace, (gsize)size);
 }
 
+static void
+put_statement(struct inconn *c, GString *s)
+{
+	struct reg_statement x;
+
+	if (reg_state(c->inbound->proxy->reg, &x) &&
+	    (c->told || reg_statement_restricts(&x)))
+		peerhdr_statement_put(s, &x);
+}
+
+static void
+hear_statement(struct inconn *c)
+{
+	struct reg_statement x;
+
+	if (!peerhdr_statement_read(c->head, &x))
+		return;
+	c->told = TRUE;
+	statements_heard(c->inbound->proxy->statements, &x);
+	reg_statement_clear(&x);
+}
+
 static void
 on_head(void *ctx, struct h1_head *h, const struct report *report)
 {
@@ -210,6 +234,7 @@
 		h1_put(c->out, "Transfer-Encoding", "chunked");
 	add_link_time(c, &adjusted);
 	peerhdr_report_put(c->out, &adjusted);
+	put_statement(c, c->out);
 	h1_put_end(c->out);
 	if (h->length > SMALL_BYTES)
 		set_large(c, h->length);
@@ -260,6 +285,7 @@
 		add_link_time(c, &adjusted);
 		peerhdr_report_put(s, &adjusted);
 	}
+	put_statement(c, s);
 	h1_put_end(s);
 	h1_send(c->conn, s->str, s->len);
 	pace_sent(c->inbound->pace, s->len);
@@ -356,6 +382,7 @@
 		f.reason = "other-instance";
 		send_failure(c, &f);
 	} else {
+		hear_statement(c);
 		c->fwd = fwd_of(c, &r);
 		if (link_full(c, &f))
 			send_failure(c, &f);
--- a/cmd/ptproxy/peer.c
+++ b/cmd/ptproxy/peer.c
@@ -50,6 +50,7 @@
 	LIST_ENTRY(peer_xchg) entry;
 	struct peers *peers;
 	struct peer *peer;
+	char *instance;
 	struct h1_call *call;
 	const struct xchg_ops *ops;
 	void *ctx;
@@ -149,6 +150,7 @@
 	LIST_REMOVE(e, entry);
 	e->peer->calls--;
 	e->peer->last_used = pt_now(&e->peers->proxy->clock);
+	g_free(e->instance);
 	g_free(e->why);
 	g_free(e);
 }
@@ -162,6 +164,18 @@
 	peer_xchg_free(e);
 }
 
+static void
+read_statement(struct peer_xchg *e, const struct h1_head *head)
+{
+	struct reg_statement x;
+
+	if (!peerhdr_statement_read(head, &x))
+		return;
+	e->report.limit = x.limit;
+	reg_table_set(e->peers->proxy->heard, e->instance, &x);
+	reg_statement_clear(&x);
+}
+
 static gboolean
 on_head(void *ctx, struct h1_head *head)
 {
@@ -169,6 +183,7 @@
 
 	e->peer->last_response = pt_now(&e->peers->proxy->clock);
 	e->has_report = peerhdr_report_read(head, &e->report);
+	read_statement(e, head);
 	e->refused = peerhdr_failure_read(head, &e->failure, &e->why);
 	if (!e->refused)
 		e->ops->head(e->ctx, head, e->has_report ? &e->report : NULL);
@@ -312,8 +327,11 @@
 	struct h1_call_opts o = { .ops = &call_ops,
 		.ctx = e,
 		.bodyless = strcmp(fwd->head->method, "HEAD") == 0 };
+	const struct reg_statement *heard =
+	    reg_table_get(p->proxy->heard, m->instance);
 	GString *s = g_string_new(NULL);
 
+	e->instance = g_strdup(m->instance);
 	e->x.cancel = peer_xchg_cancel;
 	e->x.pause = peer_xchg_pause;
 	e->peers = p;
@@ -327,6 +345,8 @@
 	e->ctx = ctx;
 	fwd_put_head(s, fwd);
 	peerhdr_request_put(s, fwd, m->instance, now);
+	if (heard != NULL)
+		peerhdr_statement_put(s, heard);
 	o.request = fwd_finish(s, fwd);
 	e->call = h1_call_new(e->peer->pool, &o);
 	g_bytes_unref(o.request);
--- a/cmd/ptproxy/peerhdr.c
+++ b/cmd/ptproxy/peerhdr.c
@@ -19,13 +19,18 @@
 #define FIELD_REQUEST "Pt-Hop"
 #define FIELD_LOAD "Pt-Load"
 #define FIELD_OUTCOME "Pt-Outcome"
+#define FIELD_SERVER "Pt-Server"
+
+/* A limit is sent in requests for this many seconds. */
+#define LIMIT_SECONDS 1000
 
 gboolean
 peerhdr_field(const char *name)
 {
 	return g_ascii_strcasecmp(name, FIELD_REQUEST) == 0 ||
 	       g_ascii_strcasecmp(name, FIELD_LOAD) == 0 ||
-	       g_ascii_strcasecmp(name, FIELD_OUTCOME) == 0;
+	       g_ascii_strcasecmp(name, FIELD_OUTCOME) == 0 ||
+	       g_ascii_strcasecmp(name, FIELD_SERVER) == 0;
 }
 
 static void
@@ -137,6 +142,39 @@
 	g_clear_pointer(&r->caller, g_free);
 }
 
+void
+peerhdr_statement_put(GString *s, const struct reg_statement *x)
+{
+	GString *v = g_string_new(NULL);
+	double limit = MIN(x->limit, (double)G_MAXINT32);
+
+	put_word(v, "id", x->id);
+	put_number(v, "start", x->process_start);
+	put_number(v, "leaving", x->leaving);
+	if (limit >= 0)
+		put_number(v, "limit", (gint64)(limit * LIMIT_SECONDS));
+	h1_put(s, FIELD_SERVER, v->str);
+	g_string_free(v, TRUE);
+}
+
+gboolean
+peerhdr_statement_read(const struct h1_head *h, struct reg_statement *x)
+{
+	const char *v = h1_head_get(h, FIELD_SERVER);
+	gint64 leaving, limit;
+
+	memset(x, 0, sizeof(*x));
+	if (v == NULL || !get_number(v, "leaving", &leaving) ||
+	    !get_number(v, "start", &x->process_start))
+		return FALSE;
+	x->id = get_word(v, "id");
+	x->leaving = leaving != 0;
+	x->limit = -1;
+	if (get_number(v, "limit", &limit) && limit >= 0)
+		x->limit = (double)limit / LIMIT_SECONDS;
+	return x->id != NULL;
+}
+
 void
 peerhdr_report_put(GString *s, const struct report *r)
 {
@@ -180,6 +218,7 @@
 	r->load.queued = (int)x[2];
 	r->load.state = (pt_state)x[3];
 	r->cost = x[4] * G_TIME_SPAN_MILLISECOND;
+	r->limit = -1;
 	for (i = 0; i < PT_RANKS_MAX; i++)
 		r->wait_ms[i] = (int)x[MIN(REPORT_FIXED + i, n - 1)];
 	r->load.wait_ms.wait_ms_len = PT_RANKS_MAX;
--- a/cmd/ptproxy/proxy.c
+++ b/cmd/ptproxy/proxy.c
@@ -134,6 +134,7 @@
 
 	p->second_timer = sys_after(SECOND_US, each_second, p);
 	backend_sweep(p->backend);
+	statements_tick(p->statements);
 	peers_sweep(p->peers);
 	source_tick(p->source);
 	set_budgets(p);
@@ -161,6 +162,7 @@
 	p->sizes = cost_new();
 	p->wrr = rtab_wrr_new(p->rand);
 	p->stats = stats_new();
+	p->heard = reg_table_new(&p->clock);
 	g_free(address);
 }
 
@@ -193,6 +195,7 @@
 	start_decisions(p);
 	p->store = plat_store_new(&p->set->store);
 	p->backend = backend_new(p);
+	p->statements = statements_new(p);
 	p->adopt = adopt_new(p);
 	p->peers = peers_new(p);
 	if (!members_start(p, err))
@@ -230,6 +233,7 @@
 	members_stop(p);
 	g_clear_pointer(&p->peers, peers_free);
 	g_clear_pointer(&p->adopt, adopt_free);
+	g_clear_pointer(&p->statements, statements_free);
 	g_clear_pointer(&p->backend, backend_free);
 }
 
@@ -242,6 +246,7 @@
 	g_clear_pointer(&p->sizes, cost_free);
 	g_clear_pointer(&p->wrr, rtab_wrr_free);
 	g_clear_pointer(&p->reg, reg_free);
+	g_clear_pointer(&p->heard, reg_table_free);
 }
 
 void
--- a/cmd/ptproxy/proxy.h
+++ b/cmd/ptproxy/proxy.h
@@ -62,6 +62,7 @@
 	struct pt_load load;
 	int wait_ms[PT_RANKS_MAX]; /* load.wait_ms points here */
 	gint64 cost; /* expected time of the route, in us, 0: not known */
+	double limit; /* requests a second that it takes, -1: no limit */
 };
 
 /* What is known of a request whose exchange failed. */
@@ -131,6 +132,15 @@
 gboolean peerhdr_request_read(const struct h1_head *, struct peerhdr_request *);
 void peerhdr_request_clear(struct peerhdr_request *);
 
+/*
+ * What the backend server of the receiver (in a request) or of the sender (in a
+ * response) says of itself.  A response carries it if the request did, or if it
+ * restricts requests.
+ */
+void peerhdr_statement_put(GString *, const struct reg_statement *);
+/* TRUE if there is one; release it with reg_statement_clear(). */
+gboolean peerhdr_statement_read(const struct h1_head *, struct reg_statement *);
+
 void peerhdr_report_put(GString *, const struct report *);
 gboolean peerhdr_report_read(const struct h1_head *, struct report *);
 void peerhdr_failure_put(GString *, const struct failure *);
@@ -152,6 +162,12 @@
 /* Load of the server, and cost of a route unless "route" is NULL. */
 void backend_report(struct backend *, const char *route, struct report *);
 guint backend_busy(const struct backend *);
+guint backend_running(const struct backend *);
+/*
+ * Asks the server for its health.  NULL: the configuration has no path for it.
+ */
+struct h1_fetch *backend_query(
+    struct backend *, guint timeout_ms, h1_fetch_cb, void *ctx);
 guint64 backend_connections(const struct backend *);
 /* FALSE after a connection attempt to the server failed. */
 gboolean backend_up(const struct backend *);
@@ -160,6 +176,18 @@
 void backend_sweep(struct backend *);
 struct h1_pool *backend_pool(struct backend *);
 
+/* ---- statement.c: what the backend server says with its answers ---- */
+
+struct statements;
+struct statements *statements_new(struct proxy *);
+void statements_free(struct statements *);
+/* An answer of the process "process", see reg_process(). */
+void statements_answered(
+    struct statements *, guint process, const struct plat_response *);
+/* Another node has sent what it has heard. */
+void statements_heard(struct statements *, const struct reg_statement *);
+void statements_tick(struct statements *); /* to be called each second */
+
 /* ---- adopt.c: a backend server that was running before this process ---- */
 
 /*
@@ -319,6 +347,7 @@
 	STAT_ANNOUNCEMENTS,
 	STAT_ANNOUNCEMENTS_REFUSED,
 	STAT_STORE_ERRORS,
+	STAT_BAD_LIMITS, /* answers with a limit that is not a number */
 	STAT_LAST
 };
 
@@ -360,6 +389,8 @@
 	struct source *source;
 	struct discovery *discovery;
 	struct backend *backend;
+	struct statements *statements;
+	struct reg_table *heard; /* statements by instance */
 	struct adopt *adopt;
 	struct peers *peers;
 	struct inbound *inbound;
--- a/cmd/ptproxy/request.c
+++ b/cmd/ptproxy/request.c
@@ -127,9 +127,11 @@
 {
 	if (r->lb_call == NULL)
 		return;
-	if (report != NULL)
+	if (report != NULL) {
 		lb_report_time(
 		    r->proxy->lb, r->lb_call, r->route->name, report->cost);
+		lb_report_limit(r->proxy->lb, r->lb_call, report->limit);
+	}
 	lb_done(r->proxy->lb, r->lb_call, res, now_of(r) - r->sent_at,
 	    report != NULL ? &report->load : NULL);
 	r->lb_call = NULL;
--- a/cmd/ptproxy/stats.c
+++ b/cmd/ptproxy/stats.c
@@ -43,6 +43,7 @@
 	[STAT_ANNOUNCEMENTS] = "announcements_total",
 	[STAT_ANNOUNCEMENTS_REFUSED] = "announcements_refused_total",
 	[STAT_STORE_ERRORS] = "store_errors_total",
+	[STAT_BAD_LIMITS] = "bad_limits_total",
 };
 
 struct stats *
@@ -112,11 +113,13 @@
 	    "ptproxy_store_calls_total %" G_GUINT64_FORMAT "\n"
 	    "ptproxy_backend_connections_total %" G_GUINT64_FORMAT "\n"
 	    "ptproxy_backend_beat_age_seconds %.3f\n"
+	    "ptproxy_backend_limit %.3f\n"
 	    "ptproxy_log_lines_dropped_total %" G_GUINT64_FORMAT "\n",
 	    p->rtab != NULL ? rtab_version(p->rtab) : 0, memb_count(p->memb),
 	    r.load.slots, r.load.running, r.load.queued,
 	    plat_store_calls(p->store), backend_connections(p->backend),
-	    (double)reg_age(p->reg) / G_TIME_SPAN_SECOND, sys_lines_dropped());
+	    (double)reg_age(p->reg) / G_TIME_SPAN_SECOND, reg_limit(p->reg),
+	    sys_lines_dropped());
 }
 
 void
--- a/core/call/adm.c
+++ b/core/call/adm.c
@@ -46,6 +46,8 @@
 /* Calls that a rank may queue whatever its target, so that its floor is used.
  */
 #define QUEUE_MIN 4
+/* Share of a limit below which the queued calls are checked again. */
+#define LIMIT_LOWER 0.9
 /* Longest estimated wait that is reported. */
 #define WAIT_MAX (60 * G_TIME_SPAN_SECOND)
 
@@ -95,6 +97,8 @@
 	gboolean closed;
 	gboolean filling; /* fill_slots() is active */
 	int slots;
+	struct rate rate; /* of all starts */
+	double checked_limit; /* for which drop_hopeless() ran last, -1: none */
 	guint running, queued;
 	struct average slot_time; /* of calls of all ranks */
 	gint64 next_expiry;
@@ -112,6 +116,7 @@
 	a->o = *o;
 	a->slots = MAX(o->slots, 0);
 	a->state = PT_SERVING;
+	a->checked_limit = -1;
 	a->next_expiry = G_MAXINT64;
 	for (i = 0; i < PT_RANKS_MAX; i++) {
 		TAILQ_INIT(&a->r[i].queues[IN_TIME].jobs);
@@ -306,6 +311,7 @@
 start(struct adm *a, struct adm_job *j, gint64 now)
 {
 	a->running++;
+	rate_take(&a->rate, now);
 	j->state = JOB_RUNNING;
 	j->started_at = now;
 	rate_add(queue_of(a, j), now);
@@ -403,6 +409,12 @@
 	return j != NULL ? j : TAILQ_FIRST(&r->queues[LATE].jobs);
 }
 
+static gboolean
+may_start(const struct adm *a, gint64 now)
+{
+	return (int)a->running < a->slots && rate_due(&a->rate, now) <= now;
+}
+
 static void
 fill_slots(struct adm *a)
 {
@@ -413,7 +425,7 @@
 	if (a->filling)
 		return;
 	a->filling = TRUE;
-	while ((int)a->running < a->slots && (r = next_rank(a)) != NULL) {
+	while (may_start(a, now) && (r = next_rank(a)) != NULL) {
 		j = next_job(a, r, now);
 		if (j->deadline <= now ||
 		    cannot_finish(a, queue_of(a, j), j, now)) {
@@ -444,21 +456,35 @@
 	return q->work + q->n_unknown * q->slot_time.mean;
 }
 
-/* Total expected time of the calls in a queue that precede j; NULL: of all. */
-static double
-work_before(const struct queue *q, const struct adm_job *j)
+/* Calls that start before another one. */
+struct ahead {
+	double work; /* total expected time in a slot, in µs */
+	guint n;
+};
+
+static void
+ahead_add_queue(struct ahead *a, const struct queue *q)
+{
+	a->work += queued_work(q);
+	a->n += q->n;
+}
+
+/* Adds the calls in a queue that precede j; NULL: all. */
+static void
+ahead_add(struct ahead *a, const struct queue *q, const struct adm_job *j)
 {
 	const struct adm_job *x;
-	double w = 0;
 
-	if (j == NULL)
-		return queued_work(q);
+	if (j == NULL) {
+		ahead_add_queue(a, q);
+		return;
+	}
 	for (x = TAILQ_FIRST(&q->jobs); x != NULL; x = TAILQ_NEXT(x, link)) {
 		if (!precedes(x, j))
 			break;
-		w += expected_time(q, x);
+		a->work += expected_time(q, x);
+		a->n++;
 	}
-	return w;
 }
 
 /* Share of the slots that the calls of a queue use. */
@@ -496,29 +522,68 @@
 	return taken;
 }
 
+/* Share of the limited rate that other calls use meanwhile, see share_taken().
+ */
+static double
+rate_taken(const struct adm *a, int order, gboolean late, gint64 now)
+{
+	const struct rank *r;
+	double taken = 0, floors = 0;
+	int i;
+
+	if (!a->rate.limited || a->rate.per_us <= 0)
+		return 0;
+	for (i = 0; i < PT_RANKS_MAX; i++) {
+		r = &a->r[i];
+		if (i < order || (i == order && late))
+			taken += rate_now(&r->queues[IN_TIME], now);
+		if (i < order)
+			taken += rate_now(&r->queues[LATE], now);
+		if (i > order && n_queued(r) > 0 && a->o.mode == ADM_RANK)
+			floors += r->floor / 100;
+	}
+	return taken / a->rate.per_us + floors;
+}
+
+/* Time until the limited rate allows "n" more starts by this share of it. */
+static double
+rate_time(const struct adm *a, guint n, double share, gint64 now)
+{
+	return rate_wait(&a->rate, n, MAX(share, SHARE_MIN), now);
+}
+
 /*
  * Estimates the wait as the shorter of two times: that of all calls queued
  * ahead on the share of the slots that is not used by others, and that of the
- * rank's own queue on its floor.
+ * rank's own queue on its floor.  Each is at least the time in which the
+ * limited rate allows as many starts.
  */
 static gint64
 wait_ranked(struct adm *a, int order, const struct adm_job *j, gint64 now)
 {
 	gboolean late = j != NULL && j->late;
-	double ahead = a->slot_time.mean, w, f;
+	struct ahead ahead = { a->slot_time.mean, 1 };
 	struct rank *r = &a->r[order];
+	double w, f;
 	int i;
 
-	for (i = 0; i < order; i++)
-		ahead += queued_work(&a->r[i].queues[IN_TIME]) +
-			 queued_work(&a->r[i].queues[LATE]);
-	ahead += work_before(&r->queues[IN_TIME], late ? NULL : j);
+	for (i = 0; i < order; i++) {
+		ahead_add_queue(&ahead, &a->r[i].queues[IN_TIME]);
+		ahead_add_queue(&ahead, &a->r[i].queues[LATE]);
+	}
+	ahead_add(&ahead, &r->queues[IN_TIME], late ? NULL : j);
 	if (late)
-		ahead += work_before(&r->queues[LATE], j);
-	w = drain_time(a, ahead, 1 - share_taken(a, order, late, now));
+		ahead_add(&ahead, &r->queues[LATE], j);
+	w = (int)a->running < a->slots && a->queued == 0
+		? 0
+		: drain_time(
+		      a, ahead.work, 1 - share_taken(a, order, late, now));
+	w = MAX(
+	    w, rate_time(a, ahead.n, 1 - rate_taken(a, order, late, now), now));
 	if (a->o.mode == ADM_RANK && r->floor > 0) {
 		f = drain_time(
 		    a, (n_queued(r) + 1) * a->slot_time.mean, r->floor / 100);
+		f = MAX(f, rate_time(a, n_queued(r) + 1, r->floor / 100, now));
 		w = MIN(w, f);
 	}
 	return (gint64)MIN(w, (double)WAIT_MAX);
@@ -528,11 +593,12 @@
 static gint64
 expected_wait_at(struct adm *a, int order, const struct adm_job *j, gint64 now)
 {
-	if ((int)a->running < a->slots && a->queued == 0)
+	if (may_start(a, now) && a->queued == 0)
 		return 0;
 	if (a->o.mode == ADM_FIFO)
 		return (gint64)MIN(
-		    drain_time(a, (a->queued + 1) * a->slot_time.mean, 1),
+		    MAX(drain_time(a, (a->queued + 1) * a->slot_time.mean, 1),
+			rate_time(a, a->queued + 1, 1, now)),
 		    (double)WAIT_MAX);
 	return wait_ranked(a, CLAMP(order, 0, PT_RANKS_MAX - 1), j, now);
 }
@@ -543,6 +609,50 @@
 	return expected_wait_at(a, order, NULL, pt_now(&a->o.clock));
 }
 
+/* TRUE if a queued call cannot end by its deadline. */
+static gboolean
+hopeless(
+    struct adm *a, const struct queue *q, const struct adm_job *j, gint64 now)
+{
+	gint64 wait = expected_wait_at(a, j->order, j, now);
+
+	return (double)(j->deadline - now - wait) < expected_time(q, j);
+}
+
+/* Drops the queued calls that a lower limit leaves no time for. */
+static void
+drop_hopeless(struct adm *a)
+{
+	gint64 now = pt_now(&a->o.clock);
+	struct adm_job *j, *before;
+	struct queue *q;
+	guint i;
+
+	for (i = PT_RANKS_MAX * QUEUES; i-- > 0;) {
+		q = queue_at(a, i);
+		for (j = TAILQ_LAST(&q->jobs, job_list); j != NULL;
+		     j = before) {
+			before = TAILQ_PREV(j, job_list, link);
+			if (hopeless(a, q, j, now))
+				drop(a, j, ADM_LATE);
+		}
+	}
+}
+
+void
+adm_limit(struct adm *a, double per_s)
+{
+	rate_set(&a->rate, per_s, pt_now(&a->o.clock));
+	if (per_s < 0) {
+		a->checked_limit = -1;
+	} else if (a->checked_limit < 0 ||
+		   per_s < a->checked_limit * LIMIT_LOWER) {
+		a->checked_limit = per_s;
+		drop_hopeless(a);
+	}
+	fill_slots(a);
+}
+
 static gboolean
 serving(const struct adm *a)
 {
@@ -610,7 +720,7 @@
 		return ADM_NOT_SERVING;
 	if (deadline <= now)
 		return ADM_EXPIRED;
-	if ((int)a->running < a->slots && a->queued == 0) {
+	if (may_start(a, now) && a->queued == 0) {
 		start(a, j, now);
 		return ADM_STARTED;
 	}
@@ -671,6 +781,15 @@
 			drop(a, j, why);
 }
 
+/* Time at which the limited rate allows the next start of a queued call. */
+static gint64
+next_start(const struct adm *a, gint64 now)
+{
+	if (a->queued == 0 || (int)a->running >= a->slots)
+		return G_MAXINT64;
+	return rate_due(&a->rate, now);
+}
+
 gint64
 adm_tick(struct adm *a)
 {
@@ -678,8 +797,9 @@
 	struct adm_job *j, *after;
 	guint i;
 
+	fill_slots(a);
 	if (now < a->next_expiry)
-		return a->next_expiry;
+		return MIN(a->next_expiry, next_start(a, now));
 	a->next_expiry = G_MAXINT64;
 	for (i = 0; i < PT_RANKS_MAX * QUEUES; i++) {
 		for (j = TAILQ_FIRST(&queue_at(a, i)->jobs); j != NULL;
@@ -692,7 +812,7 @@
 		}
 	}
 	a->next_expiry = MIN(a->next_expiry, next);
-	return a->next_expiry;
+	return MIN(a->next_expiry, next_start(a, now));
 }
 
 void
--- a/core/call/call.h
+++ b/core/call/call.h
@@ -125,6 +125,13 @@
 void lb_report_time(
     struct lb *, struct lb_call *, const char *route, gint64 us);
 
+/*
+ * Records the requests a second that an upstream takes from all nodes together,
+ * as it says with its responses; negative: no limit.  Until it reports another
+ * one, but for at most 5 s, it is weighted as one with that few slots.
+ */
+void lb_report_limit(struct lb *, struct lb_call *, double per_s);
+
 /* Reports the end of a call.  load may be NULL. */
 void lb_done(struct lb *, struct lb_call *, enum lb_result, gint64 latency_us,
     const struct pt_load *load);
@@ -139,6 +146,27 @@
 gboolean lb_inspect(
     struct lb *, const char *service, const char *instance, struct lb_view *);
 
+/* ---- rate.c: rate at which calls may start ---- */
+
+/* Zeroed before use: no limit.  All members are private. */
+struct rate {
+	double per_us;
+	double tokens; /* at the time "at" */
+	gint64 at;
+	gboolean limited;
+};
+
+/*
+ * Limits the rate to per_s starts a second; negative: no limit.  A new limit
+ * begins without unused starts; a changed one keeps them.
+ */
+void rate_set(struct rate *, double per_s, gint64 now);
+/* Time of the next start allowed; "now" if it may begin at once. */
+gint64 rate_due(const struct rate *, gint64 now);
+void rate_take(struct rate *, gint64 now); /* counts a start */
+/* Time in us until "n" starts are allowed by this share of the rate. */
+double rate_wait(const struct rate *, double n, double share, gint64 now);
+
 /* ---- adm.c: admission to the slots of an upstream ---- */
 
 enum adm_mode {
@@ -211,6 +239,14 @@
 
 void adm_slots(struct adm *, int slots);
 
+/*
+ * Limits the starts a second, in addition to the slots; negative: no limit.
+ * Queued calls that cannot end by their deadlines within it are dropped.  Call
+ * adm_tick() afterwards and after each adm_finish(): queued calls then wait for
+ * a time instead of a slot.
+ */
+void adm_limit(struct adm *, double per_s);
+
 /* Only PT_SERVING and PT_DRAINING admit new calls; see adm_close(). */
 void adm_state(struct adm *, enum pt_state);
 
@@ -244,7 +280,10 @@
 /* Drops all queued calls, so that they can be sent to other upstreams. */
 void adm_drop_all(struct adm *, enum adm_verdict why);
 
-/* Drops expired calls; returns the time at which the next one may expire. */
+/*
+ * Drops expired calls and starts those that the limit of starts allows; returns
+ * the time at which the next one may expire or start.
+ */
 gint64 adm_tick(struct adm *);
 
 /* Estimated wait of a new call of an order. */
--- a/core/call/lb.c
+++ b/core/call/lb.c
@@ -47,6 +47,13 @@
  * misses its target on this upstream.
  */
 #define LATE_WEIGHT 0.3
+/*
+ * Time for which a reported limit is used: an upstream that is hardly chosen
+ * would otherwise keep the limit of a past overload forever.
+ */
+#define LIMIT_TTL (5 * G_TIME_SPAN_SECOND)
+/* Slots that an upstream counts as having if it takes next to no requests. */
+#define SLOTS_MIN 0.01
 /* Failure rate: weight of a new call, and time constant of its decay in µs. */
 #define FAILURE_NEW (1.0 / 16)
 #define FAILURE_TAU 5e6
@@ -92,6 +99,8 @@
 	char *domain;
 	gint64 incarnation;
 	int slots;
+	double limit; /* requests a second that it takes, -1: no limit */
+	gint64 limit_at; /* time of that report */
 	enum pt_state state;
 	gboolean local; /* in the failure domain of this node */
 	gboolean member; /* in the current set of its service */
@@ -226,6 +235,7 @@
 	u->incarnation = m->incarnation;
 	u->local = lb->domain != NULL && strcmp(m->domain, lb->domain) == 0;
 	u->state = PT_BOOTING;
+	u->limit = -1;
 	u->route_time = cost_new();
 	return u;
 }
@@ -327,6 +337,15 @@
 	       exp((double)(u->failure_rate_at - now) / FAILURE_TAU);
 }
 
+/* Slots that calls of time "t" can use within the limit of the upstream. */
+static double
+usable_slots(const struct upstream *u, double t, gint64 now)
+{
+	if (u->limit < 0 || now - u->limit_at > LIMIT_TTL)
+		return u->slots;
+	return CLAMP(u->limit * t / G_TIME_SPAN_SECOND, SLOTS_MIN, u->slots);
+}
+
 /* Time that a call is expected to take from its arrival at the upstream. */
 static double
 upstream_time(const struct upstream *u, const struct service *s,
@@ -344,7 +363,7 @@
 		t = LATENCY_FIRST;
 	if (load_fresh(u, now))
 		ahead = MAX(ahead, (guint)MAX(u->running, 0));
-	t *= 1 + BUSY_WEIGHT * (ahead + 1) / u->slots;
+	t *= 1 + BUSY_WEIGHT * (ahead + 1) / usable_slots(u, t, now);
 	t *= 1 + FAILURE_WEIGHT * failure_rate(u, now);
 	wait = (double)upstream_wait(u, order, now);
 	if (req->target == 0 || t + wait <= MAX(left, 0))
@@ -380,7 +399,7 @@
 	if (load_fresh(u, now))
 		for (i = order + 1; i < PT_RANKS_MAX; i++)
 			ahead -= u->in_flight_of[i];
-	return lat * (ahead + 1) / u->slots +
+	return lat * (ahead + 1) / usable_slots(u, lat, now) +
 	       (double)upstream_wait(u, order, now);
 }
 
@@ -701,6 +720,13 @@
 		cost_add(c->upstream->service->route_time, route, us);
 }
 
+void
+lb_report_limit(struct lb *lb, struct lb_call *c, double per_s)
+{
+	c->upstream->limit = per_s;
+	c->upstream->limit_at = pt_now(&lb->o.clock);
+}
+
 static void
 observe(struct lb *lb, const struct lb_call *c, enum lb_result r,
     gint64 latency, gint64 now)
--- a/core/reg/reg.c
+++ b/core/reg/reg.c
@@ -28,6 +28,12 @@
 	gboolean leaving; /* draining or departed */
 	gboolean departed;
 	gboolean former_left; /* as recorded by reg_former_left() */
+	/* What the registered process says of itself, see reg_answered(). */
+	guint process;
+	gint64 said_by; /* its start in Unix ms, 0: not known */
+	gboolean said_leaving;
+	double limit;
+	gint64 answered_at; /* time of its newest answer, -1: none */
 	struct departure departures[DEPARTURES_MAX]; /* ring buffer */
 	guint next_departure; /* index of the next one to replace */
 };
@@ -40,6 +46,8 @@
 	r->o = *o;
 	r->address = g_strdup(o->address);
 	r->service = g_strdup(o->service);
+	r->limit = -1;
+	r->answered_at = -1;
 	return r;
 }
 
@@ -98,14 +106,36 @@
 	}
 }
 
+/* TRUE if both start times may be those of one process; 0: not known. */
+static gboolean
+same_start(gint64 a, gint64 b)
+{
+	return a == 0 || b == 0 || a == b;
+}
+
+/* Another process is registered: what the former one said is void. */
+static void
+forget_answers(struct reg *r)
+{
+	r->process++;
+	r->said_by = 0;
+	r->said_leaving = FALSE;
+	r->limit = -1;
+	r->answered_at = -1;
+}
+
 static enum reg_verdict
 register_new(struct reg *r, const struct reg_announce *b, gint64 now)
 {
+	if (g_strcmp0(r->id, b->id) != 0 ||
+	    !same_start(r->process_start, b->process_start) ||
+	    !same_start(r->said_by, b->process_start))
+		forget_answers(r);
 	g_free(r->id);
 	r->id = g_strdup(b->id);
 	r->process_start = b->process_start;
 	r->departed = FALSE;
-	r->leaving = b->state == REG_DRAINING;
+	r->leaving = b->state == REG_DRAINING || r->said_leaving;
 	r->leaving_since = r->leaving ? now : 0;
 	apply(r, b, now);
 	return REG_NEW;
@@ -125,7 +155,7 @@
 reg_announce(struct reg *r, const struct reg_announce *b)
 {
 	gint64 now = pt_now(&r->o.clock);
-	gboolean drains = b->state == REG_DRAINING;
+	gboolean drains = b->state == REG_DRAINING || r->said_leaving;
 	enum reg_verdict v;
 
 	if (strcmp(b->address, r->address) != 0)
@@ -169,6 +199,7 @@
 {
 	g_clear_pointer(&r->id, g_free);
 	g_clear_pointer(&r->announced_service, g_free);
+	forget_answers(r);
 }
 
 gboolean
@@ -204,6 +235,81 @@
 	return TRUE;
 }
 
+/* ---- what the registered process says with its answers ---- */
+
+static void
+set_said_leaving(struct reg *r, gint64 process_start)
+{
+	r->said_leaving = TRUE;
+	r->said_by = MAX(r->process_start, process_start);
+	if (!r->leaving)
+		r->leaving_since = pt_now(&r->o.clock);
+	r->leaving = TRUE;
+}
+
+guint
+reg_process(const struct reg *r)
+{
+	return r->process;
+}
+
+gboolean
+reg_answered(struct reg *r, guint process, gboolean leaving, double limit)
+{
+	gboolean changed;
+
+	if (r->id == NULL || process != r->process)
+		return FALSE;
+	changed = (leaving && !r->said_leaving) || limit != r->limit;
+	r->limit = limit;
+	r->answered_at = pt_now(&r->o.clock);
+	if (leaving && !r->said_leaving)
+		set_said_leaving(r, 0);
+	return changed;
+}
+
+gboolean
+reg_heard(struct reg *r, const struct reg_statement *s)
+{
+	gboolean changed = FALSE;
+
+	if (r->id == NULL || strcmp(r->id, s->id) != 0 ||
+	    !same_start(r->process_start, s->process_start))
+		return FALSE;
+	if (s->leaving && !r->said_leaving) {
+		set_said_leaving(r, s->process_start);
+		changed = TRUE;
+	}
+	if (r->answered_at < 0 && s->limit >= 0 &&
+	    (r->limit < 0 || s->limit < r->limit)) {
+		r->limit = s->limit;
+		changed = TRUE;
+	}
+	return changed;
+}
+
+gboolean
+reg_state(const struct reg *r, struct reg_statement *s)
+{
+	s->id = r->id;
+	s->process_start = MAX(r->process_start, r->said_by);
+	s->leaving = r->said_leaving;
+	s->limit = r->limit;
+	return r->id != NULL;
+}
+
+double
+reg_limit(const struct reg *r)
+{
+	return r->id != NULL ? r->limit : -1;
+}
+
+gint64
+reg_answer_age(const struct reg *r)
+{
+	return r->answered_at >= 0 ? pt_now(&r->o.clock) - r->answered_at : -1;
+}
+
 void
 reg_settings(struct reg *r, const char *address, const char *service)
 {
--- a/core/reg/reg.h
+++ b/core/reg/reg.h
@@ -64,6 +64,45 @@
  */
 gboolean reg_leave(struct reg *, const char *id, gint64 wall);
 
+/*
+ * What a process of a backend server says of itself with its answers, beside
+ * its announcements.
+ */
+struct reg_statement {
+	char *id;
+	gint64 process_start; /* in Unix ms, 0: not known */
+	gboolean leaving;
+	double limit; /* requests a second from all nodes, negative: none */
+};
+
+/* TRUE if it says that the server leaves or limits its requests. */
+gboolean reg_statement_restricts(const struct reg_statement *);
+void reg_statement_clear(struct reg_statement *);
+
+/*
+ * Number of the registered process in this node, to be passed on with its
+ * answers.  An adopted server keeps it when it announces itself.
+ */
+guint reg_process(const struct reg *);
+/*
+ * Applies what an answer of the process "process" says.  A process that has
+ * said that it leaves does not take it back.  TRUE if something changed.
+ */
+gboolean reg_answered(
+    struct reg *, guint process, gboolean leaving, double limit);
+/*
+ * Applies what another node has heard from the registered process before this
+ * node has: a former process of this node may have passed it on.  TRUE if
+ * something changed.
+ */
+gboolean reg_heard(struct reg *, const struct reg_statement *);
+/* Sets all but a copy of the strings; FALSE: no server is registered. */
+gboolean reg_state(const struct reg *, struct reg_statement *);
+/* Requests a second that the server takes, negative: no limit. */
+double reg_limit(const struct reg *);
+/* Age of the newest answer of the registered process, -1: none so far. */
+gint64 reg_answer_age(const struct reg *);
+
 /* Applies new settings; another address removes the registration. */
 void reg_settings(struct reg *, const char *address, const char *service);
 
@@ -82,3 +121,16 @@
 gint64 reg_cold_until(const struct reg *);
 /* Age of the newest announcement, -1: no server is registered. */
 gint64 reg_age(const struct reg *);
+
+/* ---- heard.c: what the backend servers of other nodes say of themselves ----
+ */
+
+struct reg_table;
+struct reg_table *reg_table_new(const struct pt_clock *);
+void reg_table_free(struct reg_table *);
+/* Records what the server beside the node "instance" says of itself. */
+void reg_table_set(
+    struct reg_table *, const char *instance, const struct reg_statement *);
+/* The last statement that restricts requests; NULL: none, or too old. */
+const struct reg_statement *reg_table_get(
+    struct reg_table *, const char *instance);
--- a/test/announce_test.c
+++ b/test/announce_test.c
@@ -132,6 +132,14 @@
 	refused("{\"service\":\"s\",\"url\":\"http://127.0.0.1:1\","
 		"\"slots\":1,\"connections\":65536}",
 	    "\"connections\"");
+	refused("{\"service\":\"s\",\"url\":\"http://127.0.0.1:1\","
+		"\"slots\":1,\"connections\":1,\"limit\":\"9\","
+		"\"state\":\"serving\"}",
+	    "\"limit\"");
+	refused("{\"service\":\"s\",\"url\":\"http://127.0.0.1:1\","
+		"\"slots\":1,\"connections\":1,\"limit\":-0.5,"
+		"\"state\":\"serving\"}",
+	    "\"limit\"");
 	refused("{\"service\":\"s\",\"url\":\"http://127.0.0.1:1\","
 		"\"slots\":1,\"connections\":1,\"state\":\"left\"}",
 	    "\"state\"");
--- a/test/ingress_test.c
+++ b/test/ingress_test.c
@@ -65,6 +65,8 @@
 	p.reg = reg_new(&ro);
 	p.stats = stats_new();
 	p.budget = budget_new();
+	p.heard = reg_table_new(&p.clock);
+	p.statements = statements_new(&p);
 	p.backend = backend_new(&p);
 	p.rtab = table_new();
 	p.inbound = inbound_new(&p, NULL);
@@ -78,7 +80,9 @@
 {
 	ingress_free(p.ingress);
 	inbound_free(p.inbound);
+	statements_free(p.statements);
 	backend_free(p.backend);
+	reg_table_free(p.heard);
 	rtab_unref(p.rtab);
 	reg_free(p.reg);
 	stats_free(p.stats);
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -425,6 +425,45 @@
 }
 END_TEST
 
+/*
+ * Guards against limits that are read as others than a server named, and
+ * against a value that is no number that sets a limit or ends one.
+ */
+START_TEST(limits_of_servers)
+{
+	static const struct {
+		const char *fields[5];
+		double limit;
+		gboolean bad;
+	} cases[] = {
+		{ { "Server-Limit", "17.7", NULL }, 17.7, FALSE },
+		{ { "server-limit", "0", NULL }, 0, FALSE },
+		{ { "Server-Limit", "1e9", NULL }, 1e9, FALSE },
+		{ { "Server-Limit", "3", "Server-Limit", "2" }, 2, FALSE },
+		{ { "Server-Limit", "x", "Server-Limit", "2" }, 2, TRUE },
+		{ { "Server-Limit", "-1", NULL }, -1, TRUE },
+		{ { "Server-Limit", "nan", NULL }, -1, TRUE },
+		{ { "Server-Limit", "inf", NULL }, -1, TRUE },
+		{ { "Server-Limit", "1e999", NULL }, -1, TRUE },
+		{ { "Server-Limit", "0x10", NULL }, -1, TRUE },
+		{ { "Server-Limit", "5 a", NULL }, -1, TRUE },
+		{ { "Server-Limit", "", NULL }, -1, TRUE },
+		{ { "Limit", "5", NULL }, -1, FALSE },
+	};
+	struct plat_response p;
+	struct h1_head *h;
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		h = head_new(200, cases[i].fields);
+		plat_response_read(h, &p);
+		ck_assert_double_eq(p.limit, cases[i].limit);
+		ck_assert_int_eq(p.bad_limit != NULL, cases[i].bad);
+		h1_head_unref(h);
+	}
+}
+END_TEST
+
 /*
  * Guards against deadlines that are parsed as later than given, and against
  * reserved header fields that a caller can set.
@@ -662,6 +701,7 @@
 	tcase_add_test(t, corrupted_bodies);
 	tcase_add_test(t, not_run_is_explicit);
 	tcase_add_test(t, request_fields);
+	tcase_add_test(t, limits_of_servers);
 	suite_add_tcase(suite, t);
 	tcase_add_checked_fixture(store, store_setup, store_teardown);
 	tcase_add_test(store, newest_records);
--- a/test/proxy_test.c
+++ b/test/proxy_test.c
@@ -240,6 +240,7 @@
 	struct peers *peers = peers_new(&p);
 	struct xchg *x;
 
+	p.heard = reg_table_new(&p.clock);
 	failures = silent_calls = 0;
 	give_up = FALSE;
 	x = peers_submit(peers, &m, once, &ops, NULL);
@@ -257,6 +258,7 @@
 	fwd_unref(many);
 	fwd_unref(once);
 	peers_free(peers);
+	reg_table_free(p.heard);
 	loop_close(l);
 }
 END_TEST
@@ -275,6 +277,7 @@
 	struct fwd *fwd = fwd_new(TRUE);
 	struct peers *peers = peers_new(&p);
 
+	p.heard = reg_table_new(&p.clock);
 	loop_close(l);
 	failures = 0;
 	peers_submit(peers, &m, fwd, &ops, NULL);
@@ -282,24 +285,138 @@
 	ck_assert_int_eq(kind, FAIL_UNREACHED);
 	fwd_unref(fwd);
 	peers_free(peers);
+	reg_table_free(p.heard);
 }
 END_TEST
 
+/* ---- a node beside a server ---- */
+
+static void
+no_dgram(void *ctx, const char *host, guint port, const void *data, gsize len)
+{
+}
+
+static gint64
+no_tick(void *arg)
+{
+	return G_MAXINT64;
+}
+
+static struct rtab *
+table_new(void)
+{
+	struct rtab_service s = { .name = (char *)(guintptr) "svc",
+		.health_path = (char *)(guintptr) "/well" };
+	struct rtab *t = rtab_new(1);
+
+	rtab_add_service(t, &s);
+	ck_assert(rtab_build(t, NULL));
+	return t;
+}
+
+/* A node beside a server. */
+static struct {
+	struct h1_server *server;
+	struct plat_settings set;
+	struct proxy p;
+	struct pt_dgram dgram_iface;
+} node;
+
+/*
+ * Starts the node beside a server; "heartbeat": interval of the server's
+ * announcements.
+ */
+static struct proxy *
+node_start_beside(const struct h1_server_ops *server_ops, gint64 heartbeat)
+{
+	struct h1_server_opts o = { .host = HOST, .ops = server_ops };
+	struct reg_opts ro = { .clock = sys_clock,
+		.address = "",
+		.service = "svc",
+		.heartbeat = heartbeat };
+	struct pt_member self = { .instance = (char *)(guintptr) "self",
+		.incarnation = STARTED,
+		.started = STARTED,
+		.host = (char *)(guintptr)HOST,
+		.rpc_port = 1,
+		.gossip_port = 1,
+		.domain = (char *)(guintptr) "z",
+		.region = (char *)(guintptr) "r",
+		.service = (char *)(guintptr) "" };
+	struct proxy *p = &node.p;
+	struct memb_opts mo = { .self = &self,
+		.clock = &p->clock,
+		.dgram = &node.dgram_iface,
+		.rpc = &p->rpc,
+		.events = &p->events };
+
+	memset(&node, 0, sizeof(node));
+	node.server = h1_server_new(&o, NULL);
+	node.dgram_iface.send = no_dgram;
+	node.set.service = (char *)(guintptr) "svc";
+	node.set.heartbeat = heartbeat;
+	node.set.backend.host = (char *)(guintptr)HOST;
+	node.set.backend.port = h1_server_port(node.server);
+	p->clock = sys_clock;
+	p->set = &node.set;
+	p->reg = reg_new(&ro);
+	p->stats = stats_new();
+	p->budget = budget_new();
+	mo.rand = p->rand = g_rand_new_with_seed(1);
+	p->lb = lb_new(&(struct lb_opts){ .clock = sys_clock,
+	    .rand = p->rand,
+	    .domain = "z",
+	    .events = &p->events });
+	members_opts(p, &mo);
+	p->memb = memb_new(&mo);
+	p->memb_ticker = sys_ticker_new(no_tick, NULL);
+	p->dirty_services =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	p->statements = statements_new(p);
+	p->backend = backend_new(p);
+	p->adopt = adopt_new(p);
+	p->rtab = table_new();
+	return p;
+}
+
+static void
+node_stop(void)
+{
+	struct proxy *p = &node.p;
+
+	adopt_free(p->adopt);
+	statements_free(p->statements);
+	backend_free(p->backend);
+	sys_cancel(&p->rebuild_timer);
+	g_hash_table_unref(p->dirty_services);
+	sys_ticker_free(p->memb_ticker);
+	memb_free(p->memb);
+	lb_free(p->lb);
+	g_rand_free(p->rand);
+	rtab_unref(p->rtab);
+	reg_free(p->reg);
+	stats_free(p->stats);
+	budget_free(p->budget);
+	h1_server_free(node.server);
+}
+
 /* ---- the backend server beside the node ---- */
 
 static struct {
 	const char *status_field; /* in each 503, NULL: 200 without signature */
 	const char *sign; /* name of the signature's field; no id is echoed */
+	const char *says, *value; /* a further field of each response */
 	int requests, connections; /* received so far */
 } server;
 
 static void
 server_request(void *ctx, struct h1_request *r)
 {
-	struct h1_field f[] = { { (char *)"X-Primrosetide-Attempt-Id",
-				    (char *)h1_head_get(
-					r->head, "X-Primrosetide-Attempt-Id") },
-		{ (char *)server.status_field, (char *)"1" } };
+	struct h1_field f[3] = {
+		{ (char *)"X-Primrosetide-Attempt-Id",
+		    (char *)h1_head_get(r->head, "X-Primrosetide-Attempt-Id") },
+		{ (char *)server.status_field, (char *)"1" }
+	};
 	struct h1_response a = { .status =
 				     server.status_field != NULL ? 503 : 200,
 		.fields = f,
@@ -309,6 +426,10 @@
 		f[0].name = (char *)server.sign;
 		f[0].value = (char *)"s";
 	}
+	if (server.says != NULL) {
+		f[a.n_fields].name = (char *)server.says;
+		f[a.n_fields++].value = (char *)server.value;
+	}
 	server.requests++;
 	server.connections += r->data == NULL;
 	r->data = &server;
@@ -326,51 +447,45 @@
 	g_array_append_val(fwd->head->fields, id);
 }
 
-/* Sends 10 requests in sequence to a server whose responses all fail. */
-static void
-submit_failing(const char *field, const char *sign, enum failure_kind want)
+/* Starts a node beside a server with four slots that answers requests. */
+static struct proxy *
+node_start_serving(void)
 {
-	struct h1_server_opts o = { .host = HOST, .ops = &server_ops };
-	struct h1_server *s = h1_server_new(&o, NULL);
-	struct reg_opts ro = { .clock = sys_clock,
-		.address = "",
-		.service = "svc",
-		.heartbeat = G_TIME_SPAN_MINUTE };
-	struct reg_announce ann = { .id = "i-1",
+	struct reg_announce a = { .id = "i-1",
 		.service = "svc",
 		.address = "",
 		.slots = 4,
 		.state = REG_SERVING };
-	struct plat_settings set = { 0 };
-	struct proxy p = { .clock = sys_clock, .set = &set };
+	struct proxy *p;
+
+	memset(&server, 0, sizeof(server));
+	p = node_start_beside(&server_ops, G_TIME_SPAN_MINUTE);
+	ck_assert_int_eq(reg_announce(p->reg, &a), REG_NEW);
+	backend_update(p->backend);
+	return p;
+}
+
+/* Sends 10 requests in sequence to a server whose responses all fail. */
+static void
+submit_failing(const char *field, const char *sign, enum failure_kind want)
+{
+	struct proxy *p = node_start_serving();
 	struct fwd *fwd;
 	int i;
 
-	set.backend.host = (char *)(guintptr)HOST;
-	set.backend.port = h1_server_port(s);
-	p.reg = reg_new(&ro);
-	p.stats = stats_new();
-	p.budget = budget_new();
-	ck_assert_int_eq(reg_announce(p.reg, &ann), REG_NEW);
-	p.backend = backend_new(&p);
-	memset(&server, 0, sizeof(server));
 	server.status_field = field;
 	server.sign = sign;
 	for (i = 0; i < 10; i++) {
 		failures = 0;
 		fwd = fwd_new(FALSE);
 		add_attempt_id(fwd);
-		backend_submit(p.backend, fwd, &ops, NULL);
+		backend_submit(p->backend, fwd, &ops, NULL);
 		UNTIL(failures == 1);
 		ck_assert_int_eq(kind, want);
 		fwd_unref(fwd);
 	}
 	ck_assert_int_eq(server.requests, 10);
-	backend_free(p.backend);
-	reg_free(p.reg);
-	stats_free(p.stats);
-	budget_free(p.budget);
-	h1_server_free(s);
+	node_stop();
 }
 
 /*
@@ -406,6 +521,142 @@
 }
 END_TEST
 
+/* Sends 60 requests at once to a server that refuses all and says this. */
+static void
+submit_many(const char *says, const char *value)
+{
+	struct proxy *p = node_start_serving();
+	struct fwd *fwd;
+	int i;
+
+	server.status_field = "X-Primrosetide-Not-Executed";
+	server.says = says;
+	server.value = value;
+	failures = 0;
+	for (i = 0; i < 60; i++) {
+		fwd = fwd_new(FALSE);
+		add_attempt_id(fwd);
+		backend_submit(p->backend, fwd, &ops, NULL);
+		fwd_unref(fwd);
+	}
+	UNTIL(failures == 60);
+	node_stop();
+}
+
+/*
+ * Guards against a server that gets more requests than it says that it takes:
+ * after its first answer only those that had been sent reach it.
+ */
+START_TEST(server_gets_no_more_than_its_limit)
+{
+	submit_many("Server-Limit", "0");
+	ck_assert_int_le(server.requests, 4);
+	submit_many("Server-Limit", "soon");
+	ck_assert_int_eq(server.requests, 60);
+}
+END_TEST
+
+/* ---- what other nodes have heard ---- */
+
+static char *received; /* what the last request said of the server */
+
+static void
+peer_request(void *ctx, struct h1_request *r)
+{
+	struct h1_field f[] = {
+		{ (char *)"Pt-Outcome", (char *)"kind=1;reason=no-room;" },
+		{ (char *)"Pt-Load", (char *)"4 0 0 1 0 0" },
+		{ (char *)"Pt-Server", (char *)ctx },
+	};
+	struct h1_response a = { .status = 503, .fields = f, .n_fields = 3 };
+
+	g_free(received);
+	received = g_strdup(h1_head_get(r->head, "Pt-Server"));
+	h1_server_respond(r, &a);
+}
+
+static const struct h1_server_ops peer_ops = { .request = peer_request };
+
+/*
+ * Guards against a node that forgets, with its restart, that its server leaves
+ * or limits its requests: those that have heard it tell it.
+ */
+START_TEST(nodes_tell_what_they_have_heard)
+{
+	static const char says[] = "id=i-1;start=7;leaving=1;limit=2500;";
+	struct h1_server_opts o = {
+		.host = HOST, .ops = &peer_ops, .ctx = (char *)(guintptr)says
+	};
+	struct h1_server *s = h1_server_new(&o, NULL);
+	struct proxy p = { .clock = sys_clock };
+	struct memb_member m = { .instance = (char *)(guintptr) "n",
+		.host = (char *)(guintptr)HOST,
+		.http_port = (guint16)h1_server_port(s) };
+	struct peers *peers = peers_new(&p);
+	struct fwd *fwd = fwd_new(FALSE);
+	int i;
+
+	p.heard = reg_table_new(&p.clock);
+	for (i = 0; i < 2; i++) {
+		failures = 0;
+		peers_submit(peers, &m, fwd, &ops, NULL);
+		UNTIL(failures == 1);
+	}
+	ck_assert_str_eq(received, says);
+	g_clear_pointer(&received, g_free);
+	fwd_unref(fwd);
+	peers_free(peers);
+	h1_server_free(s);
+	reg_table_free(p.heard);
+}
+END_TEST
+
+/* Sends a request of another node that says this of the server beside it. */
+static void
+send_heard(const char *says, const char *outcome, const char *echo)
+{
+	struct proxy *p = node_start_serving();
+	GSocket *c;
+	char *text;
+
+	p->set->instance = (char *)(guintptr) "self";
+	p->set->peer.host = (char *)(guintptr)HOST;
+	p->inbound = inbound_new(p, NULL);
+	c = loop_connect(HOST, inbound_port(p->inbound));
+	text = g_strdup_printf("GET /x HTTP/1.1\r\nHost: h\r\n"
+			       "X-Primrosetide-Attempt-Id: a\r\n"
+			       "Pt-Hop: to=self;route=r;service=svc;caller=c;"
+			       "left=1000000;target=500000;priority=0;once=0;"
+			       "returned=0;repeat=0;\r\n"
+			       "Pt-Server: %s\r\n\r\n",
+	    says);
+	loop_send(c, text);
+	g_free(text);
+	text = loop_expect(c, "\r\n\r\n");
+	ck_assert_msg(strstr(text, outcome) != NULL, "%s", text);
+	ck_assert_msg(strstr(text, echo) != NULL, "%s", text);
+	g_free(text);
+	loop_close(c);
+	ck_assert_int_eq(server.requests, strstr(outcome, "unsigned") != NULL);
+	inbound_free(p->inbound);
+	node_stop();
+}
+
+/*
+ * Guards against requests to a server that the node's former process knew to
+ * leave or to be limited.  What others have heard of another process is void.
+ */
+START_TEST(restarted_node_hears_of_its_server)
+{
+	send_heard("id=i-1;start=0;leaving=1;", "reason=not-serving;",
+	    "Pt-Server: id=i-1;start=0;leaving=1;");
+	send_heard("id=i-1;start=0;leaving=0;limit=0;", "reason=no-room;",
+	    "Pt-Server: id=i-1;start=0;leaving=0;limit=0;");
+	send_heard("id=i-2;start=0;leaving=1;limit=0;", "reason=unsigned;",
+	    "Pt-Server: id=i-1;start=0;leaving=0;");
+}
+END_TEST
+
 /* ---- a server that is running when the node starts ---- */
 
 static struct {
@@ -430,111 +681,14 @@
 
 static const struct h1_server_ops health_ops = { .request = health_request };
 
-static void
-no_dgram(void *ctx, const char *host, guint port, const void *data, gsize len)
-{
-}
-
-static gint64
-no_tick(void *arg)
-{
-	return G_MAXINT64;
-}
-
-static struct rtab *
-table_new(void)
-{
-	struct rtab_service s = { .name = (char *)(guintptr) "svc",
-		.health_path = (char *)(guintptr) "/well" };
-	struct rtab *t = rtab_new(1);
-
-	rtab_add_service(t, &s);
-	ck_assert(rtab_build(t, NULL));
-	return t;
-}
-
-/* A node beside a server that answers queries of its health path. */
-static struct {
-	struct h1_server *server;
-	struct plat_settings set;
-	struct proxy p;
-	struct pt_dgram dgram_iface;
-} node;
-
-/* Starts the node; "heartbeat": interval of the server's announcements. */
+/* Starts a node beside a server that answers queries of its health. */
 static struct proxy *
 node_start(int status, const char *id, gint64 heartbeat)
 {
-	struct h1_server_opts o = { .host = HOST, .ops = &health_ops };
-	struct reg_opts ro = { .clock = sys_clock,
-		.address = "",
-		.service = "svc",
-		.heartbeat = heartbeat };
-	struct pt_member self = { .instance = (char *)(guintptr) "self",
-		.incarnation = STARTED,
-		.started = STARTED,
-		.host = (char *)(guintptr)HOST,
-		.rpc_port = 1,
-		.gossip_port = 1,
-		.domain = (char *)(guintptr) "z",
-		.region = (char *)(guintptr) "r",
-		.service = (char *)(guintptr) "" };
-	struct proxy *p = &node.p;
-	struct memb_opts mo = { .self = &self,
-		.clock = &p->clock,
-		.dgram = &node.dgram_iface,
-		.rpc = &p->rpc,
-		.events = &p->events };
-
-	memset(&node, 0, sizeof(node));
-	node.server = h1_server_new(&o, NULL);
-	node.dgram_iface.send = no_dgram;
-	node.set.service = (char *)(guintptr) "svc";
-	node.set.heartbeat = heartbeat;
-	node.set.backend.host = (char *)(guintptr)HOST;
-	node.set.backend.port = h1_server_port(node.server);
-	p->clock = sys_clock;
-	p->set = &node.set;
-	p->reg = reg_new(&ro);
-	p->stats = stats_new();
-	p->budget = budget_new();
-	mo.rand = p->rand = g_rand_new_with_seed(1);
-	p->lb = lb_new(&(struct lb_opts){ .clock = sys_clock,
-	    .rand = p->rand,
-	    .domain = "z",
-	    .events = &p->events });
-	members_opts(p, &mo);
-	p->memb = memb_new(&mo);
-	p->memb_ticker = sys_ticker_new(no_tick, NULL);
-	p->dirty_services =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	p->backend = backend_new(p);
-	p->adopt = adopt_new(p);
-	p->rtab = table_new();
 	health.status = status;
 	health.id = id;
 	health.requests = 0;
-	return p;
-}
-
-static void
-node_stop(void)
-{
-	struct proxy *p = &node.p;
-
-	adopt_free(p->adopt);
-	backend_free(p->backend);
-	sys_cancel(&p->rebuild_timer);
-	g_hash_table_unref(p->dirty_services);
-	sys_ticker_free(p->memb_ticker);
-	memb_free(p->memb);
-	lb_free(p->lb);
-	g_rand_free(p->rand);
-	rtab_unref(p->rtab);
-	reg_free(p->reg);
-	stats_free(p->stats);
-	budget_free(p->budget);
-	h1_server_free(node.server);
+	return node_start_beside(&health_ops, heartbeat);
 }
 
 /*
@@ -840,6 +994,9 @@
 	tcase_add_test(t, refusals_reuse_the_connection);
 	tcase_add_test(t, unsigned_successes_close_the_connection);
 	tcase_add_test(t, answers_without_the_id_are_not_delivered);
+	tcase_add_test(t, server_gets_no_more_than_its_limit);
+	tcase_add_test(t, nodes_tell_what_they_have_heard);
+	tcase_add_test(t, restarted_node_hears_of_its_server);
 	tcase_add_test(t, running_server_is_adopted);
 	tcase_add_test(t, adoption_without_announcement_ends);
 	tcase_add_test(t, former_process_tells_that_its_server_left);
