--- a/test/proxy_test.c
+++ b/test/proxy_test.c
@@ -556,6 +556,19 @@
 }
 END_TEST
 
+/*
+ * Guards against requests to a server that has said with an answer that it
+ * leaves, and against their wait for a slot.
+ */
+START_TEST(server_that_says_it_leaves_gets_no_more)
+{
+	submit_many("Server-Leaving", "1");
+	ck_assert_int_le(server.requests, 4);
+	submit_many("Server-Leaving", "0");
+	ck_assert_int_eq(server.requests, 60);
+}
+END_TEST
+
 /* ---- what other nodes have heard ---- */
 
 static char *received; /* what the last request said of the server */
@@ -995,6 +1008,7 @@
 	tcase_add_test(t, unsigned_successes_close_the_connection);
 	tcase_add_test(t, answers_without_the_id_are_not_delivered);
 	tcase_add_test(t, server_gets_no_more_than_its_limit);
+	tcase_add_test(t, server_that_says_it_leaves_gets_no_more);
 	tcase_add_test(t, nodes_tell_what_they_have_heard);
 	tcase_add_test(t, restarted_node_hears_of_its_server);
 	tcase_add_test(t, running_server_is_adopted);
