--- a/cmd/ptproxy/source.c
+++ b/cmd/ptproxy/source.c
@@ -78,11 +78,13 @@
 	struct proxy *proxy;
 	GBytes *packed; /* document of the version in force, for other nodes */
 	gint64 next; /* offset to read from, -1: read the newest first */
+	gint64 era; /* of the store, in which "next" is an offset; -1: none */
 	guint timer, fetch_timer;
 	gint64 applied_at; /* when the version in force was applied */
 	guint failures;
 	gboolean fetching, closed;
 	gboolean reading; /* a call to the store is in progress */
+	gboolean paused; /* no call has been in progress for a while */
 	gboolean nonreader; /* leaves the long poll to the N_READERS */
 	gint64 take_over_until; /* reads in the place of a reader */
 	char *asked_by; /* that reader, until a call has succeeded */
@@ -359,14 +361,34 @@
 	}
 }
 
+/*
+ * TRUE if the store was restored from a copy since the last read.  Offsets were
+ * given out again: a change may stand before the one to read from.
+ */
+static gboolean
+was_restored(struct source *s, const struct plat_records *r)
+{
+	gint64 former = s->era;
+
+	s->era = r->era;
+	if (former < 0 || r->era < 0 || r->era == former)
+		return FALSE;
+	pt_event(&s->proxy->events, PT_LEVEL_WARNING, "store-restored",
+	    "era=%" G_GINT64_FORMAT " former=%" G_GINT64_FORMAT
+	    " next=%" G_GINT64_FORMAT,
+	    r->era, former, s->next);
+	return s->next >= 0;
+}
+
 /*
  * The store always keeps the newest record: the next call reads that one if the
- * records at the next offset have expired.
+ * records at the next offset are gone.
  */
 static void
 on_records(void *ctx, const struct plat_records *r, const GError *err)
 {
 	struct source *s = ctx;
+	gint64 delay;
 
 	s->reading = FALSE;
 	if (err != NULL) {
@@ -377,8 +399,15 @@
 	}
 	on_success(s);
 	apply_records(s, r);
+	if (was_restored(s, r)) {
+		s->next = -1;
+		read_newest(s);
+		return;
+	}
 	s->next = r->expired ? -1 : r->next;
-	s->timer = sys_after(read_delay(s, r), read_store, s);
+	delay = read_delay(s, r);
+	s->paused = delay > 0;
+	s->timer = sys_after(delay, read_store, s);
 }
 
 static void
@@ -392,9 +421,16 @@
 static void
 read_next(struct source *s)
 {
-	/* A reader that asked is to hear soon whether this node succeeds. */
-	guint wait = is_reader(s) && s->asked_by == NULL ? WAIT_MS : 0;
-
+	guint wait = is_reader(s) ? WAIT_MS : 0;
+
+	/*
+	 * A reader that asked is to hear soon whether this node succeeds. After
+	 * a pause, the store may have been restored: its answer tells, but a
+	 * long poll would hold it back.
+	 */
+	if (s->asked_by != NULL || s->paused)
+		wait = 0;
+	s->paused = FALSE;
 	s->reading = TRUE;
 	plat_store_read(s->proxy->store, plat_topic_config(), s->next, wait,
 	    wait + READ_MARGIN_MS, on_records, s);
@@ -535,7 +571,7 @@
 
 	s->proxy = p;
 	s->refs = 1;
-	s->next = -1;
+	s->next = s->era = -1;
 	s->nonreader = p->set->first_start && p->set->n_seeds > 0;
 	if (s->nonreader)
 		s->timer =
--- a/cmd/ptproxy/stats.c
+++ b/cmd/ptproxy/stats.c
@@ -111,13 +111,15 @@
 	    "ptproxy_members %u\n"
 	    "ptproxy_slots %d\nptproxy_running %d\nptproxy_queued %d\n"
 	    "ptproxy_store_calls_total %" G_GUINT64_FORMAT "\n"
+	    "ptproxy_store_era %" G_GINT64_FORMAT "\n"
 	    "ptproxy_backend_connections_total %" G_GUINT64_FORMAT "\n"
 	    "ptproxy_backend_beat_age_seconds %.3f\n"
 	    "ptproxy_backend_limit %.3f\n"
 	    "ptproxy_log_lines_dropped_total %" G_GUINT64_FORMAT "\n",
 	    p->rtab != NULL ? rtab_version(p->rtab) : 0, memb_count(p->memb),
 	    r.load.slots, r.load.running, r.load.queued,
-	    plat_store_calls(p->store), backend_connections(p->backend),
+	    plat_store_calls(p->store), plat_store_era(p->store),
+	    backend_connections(p->backend),
 	    (double)reg_age(p->reg) / G_TIME_SPAN_SECOND, reg_limit(p->reg),
 	    sys_lines_dropped());
 }
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -566,9 +566,12 @@
 	g_free(st.after);
 }
 
-/* Accepts a connection for the next call, responds and returns the request. */
+/*
+ * Accepts a connection for the next call, responds and returns the request.
+ * "fields" follow the status line.
+ */
 static char *
-respond(const char *status, const void *body, gsize n)
+respond_with(const char *status, const char *fields, const void *body, gsize n)
 {
 	char *request, *head;
 
@@ -578,8 +581,8 @@
 	g_socket_set_blocking(st.peer, FALSE);
 	request = loop_expect(st.peer, "\r\n\r\n");
 	head = g_strdup_printf(
-	    "HTTP/1.1 %s\r\nConnection: close\r\nContent-Length: %u\r\n\r\n",
-	    status, (guint)n);
+	    "HTTP/1.1 %s\r\n%sConnection: close\r\nContent-Length: %u\r\n\r\n",
+	    status, fields, (guint)n);
 	loop_send(st.peer, head);
 	g_free(head);
 	if (n > 0)
@@ -588,6 +591,12 @@
 	return request;
 }
 
+static char *
+respond(const char *status, const void *body, gsize n)
+{
+	return respond_with(status, "", body, n);
+}
+
 /* Guards against records that are misparsed, or lost between two pages. */
 START_TEST(newest_records)
 {
@@ -611,6 +620,9 @@
 }
 END_TEST
 
+/* Bytes before the records of a read. */
+#define HEADER_SIZE 16
+
 static const char log_body[] = "\0\0\0\0\0\0\0\x07" /* end */
 			       "\0\0\0\0\0\0\0\x03" /* first offset held */
 			       "\0\0\0\x05\x02"
@@ -645,6 +657,45 @@
 }
 END_TEST
 
+/*
+ * Guards against an answer from before the store was restored that sets a
+ * position or acknowledges a write, and against a read beyond the end of the
+ * log that counts as up to date.
+ */
+START_TEST(answers_of_a_former_era_fail)
+{
+	static const struct {
+		const char *fields;
+		gint64 era; /* newest, after it */
+		int code;
+	} cases[] = { { "", -1, -1 }, { "Store-Era: 3\r\n", 3, -1 },
+		{ "Store-Era: x\r\n", 3, -1 }, { "", 3, -1 },
+		{ "store-era: 5\r\n", 5, -1 },
+		{ "Store-Era: 4\r\n", 5, PT_ERROR_UNKNOWN },
+		{ "Store-Era: -9\r\n", 5, -1 }, { "Store-Era: 5\r\n", 5, -1 } };
+	GBytes *v = g_bytes_new_static("v", 1);
+	guint i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		plat_store_read(st.store, "t", 4, 0, 9000, on_records, NULL);
+		g_free(respond_with(
+		    "200 OK", cases[i].fields, log_body, sizeof(log_body) - 1));
+		UNTIL(st.calls == 2 * (int)i + 1);
+		ck_assert_int_eq(st.code, cases[i].code);
+		plat_store_put(st.store, "t", "k", v, 5000, on_put, NULL);
+		g_free(respond_with("200 OK", cases[i].fields, "{}", 2));
+		UNTIL(st.calls == 2 * (int)i + 2);
+		ck_assert_int_eq(st.code, cases[i].code);
+		ck_assert_int_eq(plat_store_era(st.store), cases[i].era);
+	}
+	plat_store_read(st.store, "t", 8, 0, 9000, on_records, NULL);
+	g_free(respond("200 OK", log_body, HEADER_SIZE));
+	UNTIL(st.calls == 2 * (int)i + 1);
+	ck_assert(st.expired);
+	g_bytes_unref(v);
+}
+END_TEST
+
 /*
  * Guards against a write that is reported as failed although it may have taken
  * effect, because its response was lost.
@@ -706,6 +757,7 @@
 	tcase_add_checked_fixture(store, store_setup, store_teardown);
 	tcase_add_test(store, newest_records);
 	tcase_add_test(store, records_of_a_log);
+	tcase_add_test(store, answers_of_a_former_era_fail);
 	tcase_add_test(store, errors_of_a_put);
 	suite_add_tcase(suite, store);
 	return suite_run(suite);
--- a/test/source_test.c
+++ b/test/source_test.c
@@ -143,6 +143,7 @@
 	guint n; /* records */
 	guint oldest; /* records at offsets before it have expired */
 	guint rewind; /* reads omit that many of the newest records */
+	gint64 era; /* rises with each restore from a copy */
 	guint calls, writes; /* received; writes that took effect */
 	LIST_HEAD(poll_list, pending) polls; /* long polls in progress */
 	/* The store does not serve the node with this handle, for a cut. */
@@ -195,7 +196,8 @@
 
 	r.records = g_array_new(FALSE, FALSE, sizeof(struct plat_record));
 	r.next = MAX((gint64)end, c->newest ? 0 : (gint64)c->from);
-	r.expired = !c->newest && c->from < store.oldest;
+	r.expired = !c->newest && (c->from < store.oldest || c->from > store.n);
+	r.era = store.era;
 	for (i = c->newest ? MAX(end, 1) - 1 : c->from;
 	     c->config && c->err == NULL && !r.expired && i < end; i++)
 		add_record(r.records, store.version[i]);
@@ -312,6 +314,12 @@
 	return store.calls;
 }
 
+gint64
+plat_store_era(const struct plat_store *s)
+{
+	return store.era;
+}
+
 const char *
 plat_topic_config(void)
 {
@@ -573,8 +581,27 @@
 	ck_assert_int_eq(in_force(), version);
 }
 
+/*
+ * Restores the store from a copy that lacks the newest "lost" records.  The
+ * operator writes the newest of them again.
+ */
+static void
+restore(guint lost)
+{
+	gint64 newest = store.version[store.n - 1];
+
+	store.era++;
+	lost = MIN(lost, store.n - 1);
+	store.n -= lost;
+	if (lost > 0)
+		add_version(newest);
+}
+
 /* ---- tests ---- */
 
+/* Number of moments at which an event is tried. */
+#define PHASES 20
+
 /*
  * Guards, for each fault of the store, against a node that drops its
  * configuration or overloads the store during the fault, or that misses a
@@ -719,12 +746,62 @@
 }
 END_TEST
 
+/*
+ * Guards against a change that is missed because the store, restored from a
+ * copy, gave its record an offset that the node had read before: at every
+ * moment between two reads, with the store away for up to 2 s or only between
+ * them.
+ */
+START_TEST(change_at_an_offset_given_out_again)
+{
+	gint64 phase = _i % PHASES * 40 * MS, away = _i / PHASES * 500 * MS;
+	gint64 v = 9;
+	guint i;
+
+	start_at(5);
+	advance(2 * SECOND);
+	for (i = 0; i < 4; i++) {
+		add_version(++v);
+		advance(2 * SECOND);
+		add_version(++v);
+		advance(phase);
+		if (away > 0)
+			set_fault(DOWN);
+		advance(away);
+		set_fault(UP);
+		restore(2);
+		add_version(++v);
+		advance(IN_FORCE_US);
+		ck_assert_int_eq(in_force(), v);
+	}
+}
+END_TEST
+
+/*
+ * Guards against a node that keeps the older version of a restored store though
+ * another node holds a newer one.
+ */
+START_TEST(newer_version_of_a_node_goes_before_a_restored_store)
+{
+	start_at(5);
+	report_version(9);
+	advance(IN_FORCE_US);
+	ck_assert_int_eq(in_force(), 9);
+	restore(0);
+	add_version(7);
+	advance(IN_FORCE_US);
+	ck_assert_int_eq(in_force(), 9);
+	add_version(11);
+	advance(IN_FORCE_US);
+	ck_assert_int_eq(in_force(), 11);
+}
+END_TEST
+
 /*
  * The store may recover at any point between two writes: the fault ends at one
  * of PHASES times that are PHASE_STEP_US apart.
  */
 #define PHASE_STEP_US (150 * MS)
-#define PHASES 20
 
 /* Guards against a node whose entry is missing after a fault of the store. */
 START_TEST(entry_written_after_store_fault)
@@ -1056,6 +1133,41 @@
 }
 END_TEST
 
+/*
+ * Guards against a change that a mesh misses after restores from copies: in
+ * random order with changes, short absences and nodes that lose the store.  A
+ * node that holds a newer version than the store keeps it.
+ */
+START_TEST(change_is_in_force_after_restores)
+{
+	GRand *rand = g_rand_new_with_seed((guint32)_i + 1);
+	gint64 version = 6, took;
+	guint k, i;
+
+	mesh_start(12, 3);
+	for (k = 0; k < 60; k++) {
+		for (i = (guint)g_rand_int_range(rand, 1, 4); i > 0; i--) {
+			add_version(++version);
+			advance(g_rand_int_range(rand, 0, 1500) * MS);
+		}
+		if (g_rand_boolean(rand)) {
+			set_fault(g_rand_boolean(rand) ? DOWN : BUSY);
+			advance(g_rand_int_range(rand, 0, 2000) * MS);
+		}
+		set_fault(UP);
+		for (i = (guint)g_rand_int_range(rand, 1, 3); i > 0; i--)
+			restore((guint)g_rand_int_range(rand, 0, 4));
+		advance(g_rand_int_range(rand, 0, 800) * MS);
+		add_version(++version);
+		took = mesh_in_force(version, PART_IN_FORCE_US);
+		ck_assert_msg(took <= PART_IN_FORCE_US, "play %u: %d ms", k,
+		    (int)(took / MS));
+	}
+	mesh_stop();
+	g_rand_free(rand);
+}
+END_TEST
+
 /*
  * Guards against an entry of every node in the store, which each node that
  * starts would have to read, and against a failure domain without one.
@@ -1115,11 +1227,15 @@
 	tcase_add_test(t, older_records);
 	tcase_add_test(t, quick_changes);
 	tcase_add_loop_test(t, entry_written_after_store_fault, 0, 4 * PHASES);
+	tcase_add_loop_test(
+	    t, change_at_an_offset_given_out_again, 0, 4 * PHASES);
+	tcase_add_test(t, newer_version_of_a_node_goes_before_a_restored_store);
 	suite_add_tcase(suite, t);
 	t = tcase_create("mesh");
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_test(t, change_is_in_force_where_few_reach_the_store);
 	tcase_add_loop_test(t, change_is_in_force_in_larger_meshes, 0, 3);
+	tcase_add_loop_test(t, change_is_in_force_after_restores, 0, 10);
 	tcase_add_test(t, few_nodes_keep_an_entry);
 	suite_add_tcase(suite, t);
 	t = tcase_create("calls");
