--- a/cmd/ptproxy/discovery.c
+++ b/cmd/ptproxy/discovery.c
@@ -57,6 +57,7 @@
 	gint64 read_at; /* start of the last reading, 0: none */
 	guint writer_checks; /* as which it counted as a writer, in a row */
 	gboolean wrote; /* this process has written its entry */
+	gint64 era; /* of the store when it acknowledged the entry */
 };
 
 static void read_page(struct discovery *, const char *after);
@@ -71,10 +72,15 @@
 	read_page(d, NULL);
 }
 
+/*
+ * An entry that the store acknowledged before it was restored from a copy may
+ * be gone.
+ */
 static void
 write_once(struct discovery *d)
 {
-	if (d->wrote)
+	if (d->write_timer != 0 ||
+	    (d->wrote && plat_store_era(d->proxy->store) == d->era))
 		return;
 	d->wrote = TRUE;
 	write_self(d);
@@ -97,7 +103,7 @@
 		d->writer_checks++;
 	else
 		d->writer_checks = 0;
-	if (d->writer_checks >= WRITER_CHECKS)
+	if (d->writer_checks >= WRITER_CHECKS || d->wrote)
 		write_once(d);
 	if (!d->reading &&
 	    (alone || (memb_elected(memb, N_READERS) && age >= READER_US)))
@@ -129,6 +135,7 @@
 	struct discovery *d = ctx;
 
 	if (err == NULL) {
+		d->era = plat_store_era(d->proxy->store);
 		sys_cancel(&d->write_timer);
 		return;
 	}
--- a/test/source_test.c
+++ b/test/source_test.c
@@ -797,6 +797,29 @@
 }
 END_TEST
 
+/*
+ * Guards against a node that nobody finds any more because the store, restored
+ * from a copy, has lost its entry.
+ */
+START_TEST(entry_written_after_a_restore)
+{
+	guint i;
+
+	start_at(5);
+	report_version(1);
+	p.discovery = discovery_new(&p);
+	advance(5 * SECOND);
+	ck_assert_uint_eq(store.writes, 1);
+	for (i = 2; i < 5; i++) {
+		restore(0);
+		advance(RECOVERY_US);
+		ck_assert_uint_eq(store.writes, i);
+		advance(10 * SECOND);
+		ck_assert_uint_eq(store.writes, i);
+	}
+}
+END_TEST
+
 /*
  * The store may recover at any point between two writes: the fault ends at one
  * of PHASES times that are PHASE_STEP_US apart.
@@ -1230,6 +1253,7 @@
 	tcase_add_loop_test(
 	    t, change_at_an_offset_given_out_again, 0, 4 * PHASES);
 	tcase_add_test(t, newer_version_of_a_node_goes_before_a_restored_store);
+	tcase_add_test(t, entry_written_after_a_restore);
 	suite_add_tcase(suite, t);
 	t = tcase_create("mesh");
 	tcase_add_checked_fixture(t, setup, teardown);
