Refuse changes while the log is shorter than what a node holds

What operators would see: with a log that was restored from a copy, ptctl says "outcome unknown" for changes that are never in force.

A reader that is told an end of the log before the offset that it read from now logs log-short and refuses changes with the remedy, and logs log-long once the log has grown. The offset of the request is compared, so that an answer that was made before a peer brought newer records does not count.

Evidence: refused_while_the_log_is_shorter gets no refusal without the check.

--- a/core/dist/dist.h
+++ b/core/dist/dist.h
@@ -344,6 +344,7 @@
 	guint tail_gen;
 	guint tail_fails;
 	gboolean log_ok; /* the last request succeeded */
+	gboolean log_short; /* the log has lost records that this node holds */
 	gboolean direct_busy;
 	gint64 direct_due;
 	gint64 scan_due; /* earliest next scan to load a snapshot */
--- a/core/dist/logread.c
+++ b/core/dist/logread.c
@@ -31,6 +31,7 @@
 	struct dist *d;
 	guint gen;
 	gboolean direct;
+	gint64 from; /* offset */
 };
 
 /* Records whether the log answers, and logs an event when that changes. */
@@ -45,12 +46,32 @@
 	    err == NULL ? "answered" : err->message);
 }
 
+/*
+ * Records the end of the log in the answer to a read.  If that is before the
+ * offset read from, the log was restored from a copy: what is appended until it
+ * has grown to that offset is not evaluated.
+ */
+static void
+check_end(struct dist *d, gint64 from, gint64 next)
+{
+	gboolean shorter = next < from;
+
+	if (d->log_short == shorter)
+		return;
+	d->log_short = shorter;
+	pt_event(d->o.events, shorter ? PT_LEVEL_ERROR : PT_LEVEL_INFO,
+	    shorter ? "log-short" : "log-long",
+	    "next=%" G_GINT64_FORMAT " position=%" G_GINT64_FORMAT, next,
+	    dist_position(d));
+}
+
 static void
-eval_batch(struct dist *d, const struct pt_batch *b)
+eval_batch(struct dist *d, gint64 from, const struct pt_batch *b)
 {
 	gint64 before = dist_position(d);
 	guint i;
 
+	check_end(d, from, b->next);
 	dist_gap_update(d, b->oldest);
 	/* The next records were trimmed before this node read them. */
 	if (b->oldest > before + 1)
@@ -92,7 +113,7 @@
 	if (!d->closed) {
 		dist_log_result(d, err);
 		if (b != NULL && err == NULL)
-			eval_batch(d, b);
+			eval_batch(d, c->from, b);
 		if (c->direct)
 			d->direct_busy = FALSE;
 		else if (c->gen == d->tail_gen)
@@ -112,8 +133,9 @@
 	c->gen = direct ? 0 : ++d->tail_gen;
 	d->refs++;
 	d->stats.log_requests[direct ? DIST_LOG_DIRECT : DIST_LOG_TAIL]++;
-	d->o.log->read(d->o.log->ctx, "config", dist_position(d) + 1, READ_MAX,
-	    wait_ms, read_done, c);
+	c->from = dist_position(d) + 1;
+	d->o.log->read(
+	    d->o.log->ctx, "config", c->from, READ_MAX, wait_ms, read_done, c);
 }
 
 /* A member can provide the configuration to a booting node. */
--- a/core/dist/submit.c
+++ b/core/dist/submit.c
@@ -58,6 +58,10 @@
 	    d->need_snapshot)
 		return "nothing was appended: this node is behind the log; "
 		       "try another node, or again later";
+	if (d->log_short)
+		return "nothing was appended: the log ends before the "
+		       "configuration in force, as after a restore from a "
+		       "copy; stop all nodes, restore the newest copy, start";
 	for (p = LIST_FIRST(&d->pending); p != NULL; p = LIST_NEXT(p, link))
 		n++;
 	if (n >= PENDING_MAX)
--- a/test/dist_test.c
+++ b/test/dist_test.c
@@ -1212,6 +1212,33 @@
 }
 END_TEST
 
+/*
+ * Guards against a change that is accepted and never in force, after the log
+ * was restored from a copy: readers refuse it, and say so when the log has
+ * grown again.
+ */
+START_TEST(refused_while_the_log_is_shorter)
+{
+	struct fn *f = start_fleet(37, 6, 2, 10);
+	guint reader = next_reader(f, 0);
+	struct verdict v;
+
+	g_ptr_array_set_size(f->log.entries[FN_CONFIG], 7);
+	fn_run(f, 30 * FN_US);
+	submit(f, reader, 77, -1, 500, &v);
+	ck_assert_int_eq(v.kind, PT_UNREACHABLE);
+	ck_assert_ptr_nonnull(strstr(v.text, "restore"));
+	ck_assert_uint_eq(f->log.entries[FN_CONFIG]->len, 7);
+	while (f->log.entries[FN_CONFIG]->len < 10)
+		fn_append_change(f, 200 + f->log.entries[FN_CONFIG]->len);
+	fn_run(f, 30 * FN_US);
+	submit(f, reader, 78, -1, 500, &v);
+	fn_run(f, 5 * FN_US);
+	ck_assert_int_eq(v.kind, PT_ACCEPTED);
+	fn_free(f);
+}
+END_TEST
+
 /* Guards against an append of a record that is not a change set. */
 START_TEST(malformed_submit)
 {
@@ -1266,6 +1293,7 @@
 	tcase_add_test(w, unknown_outcome);
 	tcase_add_test(w, concurrent_submits);
 	tcase_add_test(w, refused_while_behind);
+	tcase_add_test(w, refused_while_the_log_is_shorter);
 	tcase_add_test(w, malformed_submit);
 	suite_add_tcase(s, t);
 	suite_add_tcase(s, u);
