Wait for the answer of a silent upstream while a node stops

What callers saw: a download that a server was working on was answered 503 by the node that it was sent to, 1.5 s after that node's SIGTERM.

Cause: a node that stops gave up a request at an upstream whose node had been silent for a probe if the request could be repeated, and took that for enough. The other upstreams had no room, so the caller got the stopping node's own answer. The times fit: cut 273 ms after it was sent, by a probe that an earlier request had begun; the 503 follows 54 ms later.

The change: while a node stops it waits for the upstream, however late; it gives up no request because of silence. Price: if the upstream's instance has lost power as well, the caller learns it at its deadline.

--- a/cmd/ptproxy/request.c
+++ b/cmd/ptproxy/request.c
@@ -60,7 +60,6 @@
 	char *tried[ATTEMPTS_MAX];
 	guint n_tried;
 	guint n_ran; /* upstreams at which it may have run */
-	gboolean retry_granted; /* on_silent() spent retry budget on it */
 	gboolean overloaded; /* an upstream refused it because of its load */
 	int retry_ms; /* shortest time reported until a free slot, 0: none */
 	guint timer;
@@ -282,8 +281,7 @@
 					      : f->retry_ms;
 	}
 	if (f->kind == FAIL_LOST && !PT_MUTANT(MUTANT_LOST_AS_NOT_RUN)) {
-		if (r->retry_granted || may_repeat(r)) {
-			r->retry_granted = FALSE;
+		if (may_repeat(r)) {
 			stats_add(r->proxy->stats, STAT_RETRIES);
 			submit(r);
 		} else
@@ -375,22 +373,16 @@
 
 /*
  * Called when the upstream's node has stopped responding; the upstream may
- * still be running the request.  While this node stops, its callers should get
- * that response rather than an error of this node: the exchange fails only if
- * the request can be retried at another upstream.
+ * still be running the request.  While this node stops, its callers get that
+ * response, however late, rather than one of this node: another upstream may
+ * refuse the request.
  */
 static gboolean
 on_silent(void *ctx)
 {
 	struct request *r = ctx;
 
-	if (!r->proxy->stopping)
-		return TRUE;
-	/* Counts this upstream for may_repeat(); on_fail() adds it later. */
-	r->n_ran++;
-	r->retry_granted = may_repeat(r);
-	r->n_ran--;
-	return r->retry_granted;
+	return !r->proxy->stopping;
 }
 
 static const struct xchg_ops request_ops = { on_head, on_body, on_end, on_fail,
--- a/test/ingress_test.c
+++ b/test/ingress_test.c
@@ -252,7 +252,7 @@
 		.prefix = (char *)(guintptr) "/s/",
 		.timeout = 20 * G_TIME_SPAN_SECOND,
 		.target = 20 * G_TIME_SPAN_SECOND,
-		.attempts = 1,
+		.attempts = 2,
 		.parts = &part,
 		.n_parts = 1 };
 
@@ -273,6 +273,7 @@
 	    .domain = "z",
 	    .events = &p.events });
 	lb_set(p.lb, "svc", &lo, &u, 1);
+	p.peers = peers_new(&p);
 	p.wrr = rtab_wrr_new(p.rand);
 	p.sizes = cost_new();
 	p.retry_times = retry_times_new();
@@ -284,6 +285,7 @@
 serving_teardown(void)
 {
 	g_clear_pointer(&p.ingress, ingress_free);
+	g_clear_pointer(&p.peers, peers_free);
 	loop_close(listener);
 	retry_times_free(p.retry_times);
 	cost_free(p.sizes);
@@ -335,6 +337,99 @@
 }
 END_TEST
 
+/* ---- upstreams at other nodes ---- */
+
+static int silent; /* events that a node is silent */
+
+static void
+count_silent(
+    void *ctx, enum pt_level level, const char *name, const char *fields)
+{
+	silent += strcmp(name, "peer-silent") == 0;
+}
+
+/* Makes a node a member, and returns the socket on which it listens. */
+static GSocket *
+add_node(const char *name, const char *host)
+{
+	GSocket *l = rpcio_bind(G_SOCKET_TYPE_STREAM, host, 0, TRUE, NULL);
+	struct pt_gossip g = { .proto = PT_PROTO,
+		.kind = PT_SPREAD,
+		.from = (char *)(guintptr)name,
+		.target = (char *)(guintptr) "" };
+	struct pt_member m = { .instance = g.from,
+		.incarnation = 1,
+		.started = 1,
+		.state = PT_SERVING,
+		.host = (char *)(guintptr)host,
+		.rpc_port = 1,
+		.gossip_port = 1,
+		.http_port = (int)rpcio_local_port(l),
+		.domain = (char *)(guintptr) "z",
+		.region = (char *)(guintptr) "r",
+		.service = (char *)(guintptr) "svc",
+		.slots = 4 };
+	GBytes *b;
+
+	g.updates.updates_val = &m;
+	g.updates.updates_len = 1;
+	b = pt_encode((xdrproc_t)xdr_pt_gossip, &g);
+	memb_input(p.memb, g_bytes_get_data(b, NULL), g_bytes_get_size(b));
+	g_bytes_unref(b);
+	return l;
+}
+
+/*
+ * Guards against an answer of a stopping node in place of that of an upstream
+ * that is at work on the request: the upstream's node is silent for a while,
+ * and the others have no room.
+ */
+START_TEST(stopping_node_waits_for_a_silent_upstream)
+{
+	static const char refusal[] =
+	    "HTTP/1.1 503 No\r\nPt-Outcome: kind=1;reason=no-room;retry=50;"
+	    "\r\nContent-Length: 0\r\n\r\n";
+	static const char answer[] =
+	    "HTTP/1.1 200 OK\r\nX-Primrosetide-Response-Signature: s\r\n"
+	    "Content-Length: 2\r\n\r\nok";
+	struct lb_service_opts o = { .eject_max = 50, .by_time = TRUE };
+	struct lb_member u[] = { { "n0", "z", 1, 4, PT_SERVING },
+		{ "n1", "z", 1, 4, PT_SERVING } };
+	GSocket *l[2], *s, *conn = NULL, *other = NULL;
+	int at = 0;
+	char *got;
+
+	p.events.event = count_silent;
+	silent = 0;
+	l[0] = add_node("n0", "127.0.0.2");
+	l[1] = add_node("n1", "127.0.0.3");
+	lb_set(p.lb, "svc", &o, u, 2);
+	budget_set(p.budget, "svc", 100, 0);
+	s = loop_connect(HOST, port_of(0));
+	loop_send(s, "GET /s/ HTTP/1.1\r\nHost: h\r\n\r\n");
+	UNTIL((conn = g_socket_accept(l[at ^= 1], NULL, NULL)) != NULL);
+	g_socket_set_blocking(conn, FALSE);
+	g_free(loop_expect(conn, "\r\n\r\n"));
+	p.stopping = TRUE;
+	UNTIL(silent > 0);
+	LOOP_IDLE();
+	other = g_socket_accept(l[at ^ 1], NULL, NULL);
+	if (other != NULL)
+		loop_send(other, refusal);
+	LOOP_IDLE();
+	loop_send(conn, answer);
+	got = loop_expect(s, "\r\n\r\n");
+	ck_assert_msg(strstr(got, " 200 ") != NULL, "%s", got);
+	g_free(got);
+	ck_assert_ptr_null(other);
+	loop_close(s);
+	LOOP_IDLE();
+	loop_close(conn);
+	loop_close(l[0]);
+	loop_close(l[1]);
+}
+END_TEST
+
 #define CALLERS 100
 
 /*
@@ -382,6 +477,7 @@
 	t = tcase_create("serving");
 	tcase_add_checked_fixture(t, serving_setup, serving_teardown);
 	tcase_add_test(t, next_request_in_the_buffer_does_not_time_out);
+	tcase_add_test(t, stopping_node_waits_for_a_silent_upstream);
 	suite_add_tcase(suite, t);
 	return suite_run(suite);
 }
