Do not say "not run" of a request that an earlier upstream may have run

What callers saw: 503, which promises that a request has not run and never will, for requests that may be repeated and whose first upstream lost the connection or failed them.

Cause: the answer followed from the last upstream's refusal alone. Only one of the two ends of the retry looked at earlier upstreams, and it counted those that had refused as well: there the answer was 502 where 503 was true.

The change: a request remembers that an upstream may have run it; then the answer is 502, and 503 with Retry-After otherwise, at both ends.

Evidence: refusal_after_a_lost_answer_may_have_run gets 503 after a lost connection and after a status 500 on the former code, 502 now; after refusals alone 503.

--- a/cmd/ptproxy/request.c
+++ b/cmd/ptproxy/request.c
@@ -60,6 +60,7 @@
 	char *tried[ATTEMPTS_MAX];
 	guint n_tried;
 	guint n_ran; /* upstreams at which it may have run */
+	gboolean may_have_run; /* at an upstream whose answer was not used */
 	gboolean overloaded; /* an upstream refused it because of its load */
 	int retry_ms; /* shortest time reported until a free slot, 0: none */
 	guint timer;
@@ -213,6 +214,16 @@
 	g_byte_array_set_size(r->buffered, 0);
 }
 
+/*
+ * Ends a request that no further upstream takes.  Status 503 says that it did
+ * not run: not if an earlier upstream may have run it.
+ */
+static void
+respond_refused(struct request *r, const char *why, int retry_ms)
+{
+	respond_local(r, r->may_have_run ? 502 : 503, why, retry_ms);
+}
+
 /* ---- decisions after a failure ---- */
 
 /*
@@ -281,6 +292,7 @@
 					      : f->retry_ms;
 	}
 	if (f->kind == FAIL_LOST && !PT_MUTANT(MUTANT_LOST_AS_NOT_RUN)) {
+		r->may_have_run = TRUE;
 		if (may_repeat(r)) {
 			stats_add(r->proxy->stats, STAT_RETRIES);
 			submit(r);
@@ -298,7 +310,7 @@
 		submit(r);
 		return;
 	}
-	respond_local(r, 503, f->reason, r->retry_ms);
+	respond_refused(r, f->reason, r->retry_ms);
 }
 
 static void
@@ -312,7 +324,7 @@
 	r->bodyless = response_bodyless(r->head, h->status);
 	attempt_done(r, h->status >= 500 ? LB_FAILED : LB_RAN, report);
 	if (r->conn != NULL && h->status >= 500 && may_repeat(r))
-		r->discard = TRUE;
+		r->discard = r->may_have_run = TRUE;
 }
 
 static void
@@ -396,7 +408,7 @@
 {
 	if (v == LB_NONE)
 		retry_ms = r->overloaded ? r->retry_ms : RETRY_LATER_MS;
-	respond_local(r, 503,
+	respond_refused(r,
 	    v == LB_LATE || r->overloaded ? "no-room" : "no-upstream",
 	    retry_ms);
 }
@@ -423,10 +435,7 @@
 
 	v = lb_choose(p->lb, &req, &r->lb_call, &retry_ms);
 	if (v != LB_CHOSEN) {
-		if (r->n_ran > 0 && !r->fwd->once)
-			respond_local(r, 502, "no-other-upstream", 0);
-		else
-			respond_no_upstream(r, v, retry_ms);
+		respond_no_upstream(r, v, retry_ms);
 		return;
 	}
 	r->fwd->repeat = r->n_ran > 0;
--- a/test/ingress_test.c
+++ b/test/ingress_test.c
@@ -430,6 +430,79 @@
 }
 END_TEST
 
+/* Upstreams of the tests; a request is sent to that many at most. */
+#define NODES 4
+
+/*
+ * Sends a request that the node of the first upstream answers with "first",
+ * NULL: closes the connection, and the others refuse.  Checks the status that
+ * the caller gets.
+ */
+static void
+refused_by_the_others(const char *first, const char *status)
+{
+	static const char refusal[] =
+	    "HTTP/1.1 503 No\r\nPt-Outcome: kind=1;reason=no-room;retry=50;"
+	    "\r\nContent-Length: 0\r\n\r\n";
+	static const char *const names[] = { "n0", "n1", "n2", "n3" };
+	static const char *const hosts[] = { "127.0.0.2", "127.0.0.3",
+		"127.0.0.4", "127.0.0.5" };
+	struct lb_service_opts o = { .eject_max = 50, .by_time = TRUE };
+	struct lb_member u[NODES];
+	GSocket *l[NODES], *s, *conn[NODES] = { NULL };
+	const char *answer;
+	char *got;
+	int at = 0, i;
+
+	for (i = 0; i < NODES; i++) {
+		l[i] = add_node(names[i], hosts[i]);
+		u[i] = (struct lb_member){ names[i], "z", 1, 4, PT_SERVING };
+	}
+	lb_set(p.lb, "svc", &o, u, NODES);
+	budget_set(p.budget, "svc", 100, 0);
+	s = loop_connect(HOST, port_of(0));
+	loop_send(s, "GET /s/ HTTP/1.1\r\nHost: h\r\n\r\n");
+	for (i = 0; i < NODES; i++) {
+		UNTIL((conn[i] = g_socket_accept(
+			   l[at++ % NODES], NULL, NULL)) != NULL);
+		g_socket_set_blocking(conn[i], FALSE);
+		g_free(loop_expect(conn[i], "\r\n\r\n"));
+		answer = i == 0 ? first : refusal;
+		if (answer != NULL)
+			loop_send(conn[i], answer);
+		else
+			g_socket_shutdown(conn[i], TRUE, TRUE, NULL);
+	}
+	got = loop_expect(s, "\r\n\r\n");
+	ck_assert_msg(strstr(got, status) != NULL, "%s", got);
+	g_free(got);
+	loop_close(s);
+	LOOP_IDLE();
+	for (i = 0; i < NODES; i++) {
+		loop_close(conn[i]);
+		loop_close(l[i]);
+	}
+}
+
+/*
+ * Guards against "not run" for a request that an earlier upstream may have run,
+ * and against "may have run" for one that was only refused.
+ */
+START_TEST(refusal_after_a_lost_answer_may_have_run)
+{
+	static const char failed[] =
+	    "HTTP/1.1 500 No\r\nX-Primrosetide-Response-Signature: s\r\n"
+	    "Content-Length: 0\r\n\r\n";
+	static const char rejected[] =
+	    "HTTP/1.1 503 No\r\nPt-Outcome: kind=2;reason=backend-refused;"
+	    "\r\nContent-Length: 0\r\n\r\n";
+	const char *const first[] = { NULL, failed, rejected };
+	static const char *const status[] = { " 502 ", " 502 ", " 503 " };
+
+	refused_by_the_others(first[_i], status[_i]);
+}
+END_TEST
+
 #define CALLERS 100
 
 /*
@@ -478,6 +551,7 @@
 	tcase_add_checked_fixture(t, serving_setup, serving_teardown);
 	tcase_add_test(t, next_request_in_the_buffer_does_not_time_out);
 	tcase_add_test(t, stopping_node_waits_for_a_silent_upstream);
+	tcase_add_loop_test(t, refusal_after_a_lost_answer_may_have_run, 0, 3);
 	suite_add_tcase(suite, t);
 	return suite_run(suite);
 }
