Close a connection between nodes that has fallen silent

Cause: a machine of the failure domain had lost power and come back at its address. A node's RPC connection to it stayed dead. A call that timed out left its connection in use until it was idle for 20 s. The client of the HTTP connections already closes those.

The change: a connection on which a call has timed out, and no reply has arrived since that call was made, is closed once no call is left on it; the next call connects anew. Connections on which others get replies stay.

Evidence: silent_connection_is_not_used_again waits for a second connection in vain if the silent one is used again. Ruled out: the change of the source's reads (the node does not read the store, and what it held came from nodes).

--- a/adapter/rpcio/client.c
+++ b/adapter/rpcio/client.c
@@ -14,6 +14,7 @@
 	struct peer *peer;
 	const struct rpcio_proc *proc;
 	guint32 xid;
+	gint64 made_at; /* monotonic time */
 	gint64 due; /* monotonic time of the time-out */
 	pt_rpc_cb cb;
 	void *arg;
@@ -28,6 +29,9 @@
 	char *host;
 	guint port;
 	gboolean connecting;
+	gint64 heard_at; /* time of the last reply */
+	/* A call timed out, and no reply has arrived since it was made. */
+	gboolean silent;
 	gint64 due; /* time-out of the connection attempt or of idleness */
 };
 
@@ -168,12 +172,18 @@
 	c->due = MIN(c->due, due);
 }
 
+/*
+ * A connection that has fallen silent is closed as soon as it is idle: the host
+ * may have lost power, and a later call on it would time out as well.
+ */
 static void
 peer_start_idle(struct peer *p)
 {
 	if (p->connecting || p->calls != NULL)
 		return;
-	p->due = g_get_monotonic_time() + p->client->o.idle_ms * 1000LL;
+	p->due = 0;
+	if (!p->silent)
+		p->due = g_get_monotonic_time() + p->client->o.idle_ms * 1000LL;
 	lower_due(p->client, p->due);
 }
 
@@ -251,6 +261,8 @@
 	memcpy(head, data, sizeof(head));
 	if (g_ntohl(head[1]) != REPLY)
 		return FALSE;
+	p->heard_at = g_get_monotonic_time();
+	p->silent = FALSE;
 	k = g_hash_table_lookup(c->calls, GUINT_TO_POINTER(g_ntohl(head[0])));
 	/* Drops a reply to no call of this peer, such as a late one. */
 	if (k == NULL || k->peer != p || k->msg != NULL)
@@ -354,6 +366,10 @@
 	struct peer *p;
 
 	p = g_hash_table_lookup(c->peers, &key);
+	if (p != NULL && p->silent && p->calls == NULL) {
+		peer_free(p, "no reply in time");
+		p = NULL;
+	}
 	if (p == NULL)
 		p = peer_connect(c, host, port, err);
 	if (p != NULL && rpcio_conn_queued(p->conn) > QUEUE_MAX) {
@@ -414,7 +430,8 @@
 	if (!p->connecting)
 		p->due = G_MAXINT64;
 	k->peer = p;
-	k->due = g_get_monotonic_time() + timeout_ms * 1000LL;
+	k->made_at = g_get_monotonic_time();
+	k->due = k->made_at + timeout_ms * 1000LL;
 	lower_due(c, k->due);
 	k->msg = m;
 	m->slot = &k->msg;
@@ -441,6 +458,7 @@
 		}
 		g_hash_table_iter_remove(&it);
 		call_unlink(k);
+		k->peer->silent |= k->peer->heard_at < k->made_at;
 		peer_start_idle(k->peer);
 		call_link(k, expired);
 	}
--- a/test/rpcio_test.c
+++ b/test/rpcio_test.c
@@ -257,6 +257,43 @@
 }
 END_TEST
 
+/*
+ * Guards against a second call on a connection that has fallen silent: the host
+ * lost power and is back, and only the former connection stays dead.  A
+ * connection on which other replies arrive is kept.
+ */
+START_TEST(silent_connection_is_not_used_again)
+{
+	GSocket *l, *first = NULL, *second = NULL;
+	struct result s[3];
+	guint port;
+
+	l = raw_listen(&port);
+	call(port, 1, 50, &s[0]);
+	UNTIL((first = g_socket_accept(l, NULL, NULL)) != NULL);
+	UNTIL(s[0].done == 1);
+	ck_assert_int_eq(s[0].code, PT_ERROR_UNKNOWN);
+	call(port, 2, TIMEOUT_MS, &s[1]);
+	UNTIL((second = g_socket_accept(l, NULL, NULL)) != NULL);
+	loop_close(first);
+	loop_close(second);
+	loop_close(l);
+	UNTIL(s[1].done == 1);
+
+	t.defer = 1;
+	call(t.port, 3, 2000, &s[0]);
+	UNTIL(t.n_pending == 1);
+	call(t.port, 4, TIMEOUT_MS, &s[1]);
+	UNTIL(s[1].done == 1);
+	answer(t.pending[0], t.ids[0]);
+	UNTIL(s[0].done == 1);
+	call(t.port, 5, TIMEOUT_MS, &s[2]);
+	UNTIL(s[2].done == 1);
+	ck_assert_int_eq(s[2].code, -1);
+	ck_assert_uint_eq(t.closed, 0);
+}
+END_TEST
+
 /* Guards against a reply that is accepted although another peer was called. */
 START_TEST(reply_of_another_peer)
 {
@@ -698,6 +735,7 @@
 	tcase_add_test(c, replies_out_of_order);
 	tcase_add_test(c, late_reply);
 	tcase_add_test(c, reply_of_another_peer);
+	tcase_add_test(c, silent_connection_is_not_used_again);
 	tcase_add_test(c, request_sent_or_not);
 	tcase_add_test(c, peer_stops_reading);
 	tcase_add_test(c, peer_closes_in_reply);
