Ask the store after the first node that does not respond

The change: after a fetch that failed the store is read at once. A node that answers without a newer version counts as before, so that calls to the store do not grow in calm times.

Evidence: change_is_in_force_beside_nodes_that_do_not_respond (half of the nodes of each failure domain do not respond to fetches) takes more than 2 s on the former code at the third change, and not in 60 now.

--- a/cmd/ptproxy/source.c
+++ b/cmd/ptproxy/source.c
@@ -462,8 +462,12 @@
 		if (doc != NULL)
 			g_bytes_unref(doc);
 	}
-	/* The store may hold a version that no node has. */
-	if (!applied && ++s->empty_fetches > 1 && !s->reading) {
+	/*
+	 * The store may hold a version that no node has.  After a node that
+	 * does not respond, a second one would make the version too late.
+	 */
+	if (!applied && (++s->empty_fetches > 1 || err != NULL) &&
+	    !s->reading) {
 		sys_cancel(&s->timer);
 		read_store(s);
 	}
--- a/test/source_test.c
+++ b/test/source_test.c
@@ -864,6 +864,7 @@
 	struct pt_dgram dgram;
 	char name[16], host[16], domain[8];
 	gboolean cut;
+	gboolean deaf; /* does not respond to fetches */
 	guint ticks;
 };
 
@@ -913,6 +914,23 @@
 	sys_after(HOP_US, mesh_deliver, m);
 }
 
+/* A call that its host does not answer. */
+struct lost_call {
+	pt_rpc_cb cb;
+	void *arg;
+};
+
+static void
+call_timeout(void *arg)
+{
+	GError *err = g_error_new(PT_ERROR, PT_ERROR_UNKNOWN, "no reply");
+	struct lost_call *c = arg;
+
+	c->cb(c->arg, NULL, err);
+	g_error_free(err);
+	g_free(c);
+}
+
 /* Calls are answered at once, as their results are copied by the caller. */
 static void
 mesh_call(void *ctx, const char *host, guint port, guint proc, const void *args,
@@ -922,7 +940,13 @@
 	struct pt_table_res table = { .proto = PT_PROTO };
 	struct pt_members_res members = { 0 };
 
-	if (proc == PT_MEMBERS) {
+	if (proc == PT_TABLE && to->deaf) {
+		struct lost_call *c = g_new0(struct lost_call, 1);
+
+		c->cb = cb;
+		c->arg = arg;
+		sys_after(timeout_ms * MS, call_timeout, c);
+	} else if (proc == PT_MEMBERS) {
 		memb_handle_members(to->p.memb, args, &members);
 		cb(arg, &members, NULL);
 		memb_members_clear(&members);
@@ -1156,6 +1180,29 @@
 }
 END_TEST
 
+/*
+ * Guards against a change that is late because the nodes that are asked for it
+ * do not respond, one after the other: half of those of each failure domain.
+ */
+START_TEST(change_is_in_force_beside_nodes_that_do_not_respond)
+{
+	gint64 version = 6, took;
+	guint i, k;
+
+	mesh_start(12, 3);
+	for (k = 0; k < 60; k++) {
+		for (i = 0; i < n_mesh; i++)
+			mesh[i].deaf = (i / 3 + k) % 2 == 0;
+		add_version(++version);
+		took = mesh_in_force(version, PART_IN_FORCE_US);
+		ck_assert_msg(took <= PART_IN_FORCE_US, "play %u: %d ms", k,
+		    (int)(took / MS));
+		advance(3 * SECOND);
+	}
+	mesh_stop();
+}
+END_TEST
+
 /*
  * Guards against a change that a mesh misses after restores from copies: in
  * random order with changes, short absences and nodes that lose the store.  A
@@ -1259,6 +1306,7 @@
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_test(t, change_is_in_force_where_few_reach_the_store);
 	tcase_add_loop_test(t, change_is_in_force_in_larger_meshes, 0, 3);
+	tcase_add_test(t, change_is_in_force_beside_nodes_that_do_not_respond);
 	tcase_add_loop_test(t, change_is_in_force_after_restores, 0, 10);
 	tcase_add_test(t, few_nodes_keep_an_entry);
 	suite_add_tcase(suite, t);
