--- a/cmd/ptproxy/backend.c
+++ b/cmd/ptproxy/backend.c
@@ -622,6 +622,7 @@
 	r->ops = NULL;
 	if (r->call == NULL) {
 		adm_cancel(r->backend->adm, &r->job);
+		log_run(r, "cancelled-waiting");
 		run_free(r);
 		return;
 	}
--- a/cmd/ptproxy/ingress.c
+++ b/cmd/ptproxy/ingress.c
@@ -45,12 +45,13 @@
 	guint sweep_timer;
 };
 
+/* Closes a connection; "why" is the reason if a request is on it. */
 static void
-conn_free(struct caller_conn *c)
+conn_free(struct caller_conn *c, const char *why)
 {
 	if (c->request != NULL) {
 		c->ingress->busy--;
-		request_abandon(c->request);
+		request_abandon(c->request, why);
 	}
 	LIST_REMOVE(c, entry);
 	h1_free(c->conn);
@@ -149,13 +150,13 @@
 
 /* Responds to a malformed or slow request and closes the connection. */
 static void
-refuse(struct caller_conn *c, int status)
+refuse(struct caller_conn *c, int status, const char *why)
 {
 	GString *s = g_string_new(NULL);
 
 	if (c->request != NULL) {
 		c->ingress->busy--;
-		request_abandon(c->request);
+		request_abandon(c->request, why);
 		c->request = NULL;
 	}
 	h1_put_status(s, status);
@@ -177,13 +178,13 @@
 	stats_add(c->ingress->proxy->stats, STAT_BAD_REQUEST);
 	pt_event(&c->ingress->proxy->events, PT_LEVEL_WARNING, "bad-request",
 	    "status=%d text=\"%s\"", status, why);
-	refuse(c, status);
+	refuse(c, status, "bad-request");
 }
 
 static void
 on_closed(void *ctx, enum h1_end end, const char *why)
 {
-	conn_free(ctx);
+	conn_free(ctx, CALLER_LEFT);
 }
 
 static const struct h1_ops caller_ops = { .head = on_head,
@@ -233,13 +234,13 @@
 		begun = h1_begun(c->conn);
 		if (h1_idle(c->conn) && c->request == NULL) {
 			if (age > idle)
-				conn_free(c);
+				conn_free(c, "idle");
 		} else if (c->request == NULL
 			       ? begun != 0 && now - begun > head
 			       : !c->complete &&
 				     (age > idle ||
 					 request_overdue(c->request, now)))
-			refuse(c, 408);
+			refuse(c, 408, "slow");
 	}
 }
 
@@ -303,7 +304,7 @@
 		return;
 	sys_cancel(&in->sweep_timer);
 	while ((c = LIST_FIRST(&in->conns)) != NULL)
-		conn_free(c);
+		conn_free(c, "stopped");
 	g_clear_pointer(&in->listener, rpcio_listen_free);
 	g_free(in);
 }
--- a/cmd/ptproxy/proxy.h
+++ b/cmd/ptproxy/proxy.h
@@ -294,8 +294,10 @@
 void request_dispatch(struct request *);
 /* TRUE if a request that is not complete has passed its time. */
 gboolean request_overdue(const struct request *, gint64 now);
-/* The caller closed the connection. */
-void request_abandon(struct request *);
+/* The caller closed the connection: reason of request_abandon(). */
+#define CALLER_LEFT "caller-left"
+/* Ends a request without an answer; "why" is logged. */
+void request_abandon(struct request *, const char *why);
 void request_pause(struct request *, gboolean);
 
 /* Functions that a request calls on its caller's connection. */
--- a/test/ingress_test.c
+++ b/test/ingress_test.c
@@ -613,6 +613,57 @@
 }
 END_TEST
 
+static char *ended; /* reasons of the events "request" */
+
+static void
+note_reason(
+    void *ctx, enum pt_level level, const char *name, const char *fields)
+{
+	const char *reason = strstr(fields, "reason=");
+	char *all;
+
+	if (strcmp(name, "request") != 0 || reason == NULL)
+		return;
+	reason += strlen("reason=");
+	all = g_strdup_printf("%s%.*s ", ended != NULL ? ended : "",
+	    (int)strcspn(reason, " "), reason);
+	g_free(ended);
+	ended = all;
+}
+
+/*
+ * Guards against a log that says that a caller left who got an answer, or whom
+ * the end of this process left without one.
+ */
+START_TEST(log_says_that_a_caller_left_only_if_it_did)
+{
+	static const char head[] =
+	    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n";
+	GSocket *s[3];
+	guint i;
+
+	p.events.event = note_reason;
+	for (i = 0; i < G_N_ELEMENTS(s); i++) {
+		s[i] = loop_connect(HOST, port_of(0));
+		loop_send(s[i], head);
+		if (i == 1)
+			loop_send(s[i], "X-Primrosetide-Deadline-Ms: 1\r\n");
+		loop_send(s[i], "\r\n");
+	}
+	UNTIL(ingress_busy(p.ingress) == 3);
+	loop_close(s[0]);
+	UNTIL(ingress_busy(p.ingress) == 2);
+	ck_assert_str_eq(ended, "caller-left ");
+	g_free(loop_expect(s[1], " 408 "));
+	ck_assert_str_eq(ended, "caller-left slow ");
+	g_clear_pointer(&p.ingress, ingress_free);
+	ck_assert_str_eq(ended, "caller-left slow stopped ");
+	loop_close(s[1]);
+	loop_close(s[2]);
+	g_clear_pointer(&ended, g_free);
+}
+END_TEST
+
 #define CALLERS 100
 
 /*
@@ -656,6 +707,7 @@
 	tcase_add_loop_test(t, endless_body_leaves_others_served, 0, 2);
 	tcase_add_test(t, slow_heads_time_out);
 	tcase_add_test(t, requests_that_arrived_are_answered);
+	tcase_add_test(t, log_says_that_a_caller_left_only_if_it_did);
 	tcase_add_test(t, limits_of_a_new_version_hold_on_kept_connections);
 	suite_add_tcase(suite, t);
 	t = tcase_create("serving");
