--- a/Makefile
+++ b/Makefile
@@ -89,11 +89,18 @@
 $B/test/announce_test.o: ALL += -Icmd/ptnode
 
 PROXYOBJ = $(patsubst %.c,$B/%.o,$(filter-out %/main.c,$(wildcard cmd/ptproxy/*.c)))
-PROXYTESTS = $(addprefix $B/test/,proxy_test source_test ingress_test)
+PROXYTESTS = $(addprefix $B/test/,proxy_test source_test ingress_test stop_test)
 $(PROXYTESTS): PARTS = $(PROXYOBJ)
 $(PROXYTESTS): $(PROXYOBJ)
 $(PROXYTESTS:=.o): ALL += -Icmd/ptproxy
 
+# These tests advance the clock.
+PAUSEDTESTS = $(addprefix $B/test/,source_test stop_test)
+PAUSEDOBJ = $B/test/paused/paused.o
+$(PAUSEDTESTS): PARTS += $(PAUSEDOBJ)
+$(PAUSEDTESTS): $(PAUSEDOBJ)
+$(PAUSEDTESTS:=.o) $(PAUSEDOBJ): ALL += -Itest/paused
+
 # Tests of whole processes start these programs.
 $B/test/standin_test: | $(addprefix $B/bin/,ptlog ptback)
 # This test runs the program.
@@ -120,10 +127,10 @@
 	clang-format --dry-run -Werror $(SRC)
 lint:
 	printf '%s\n' $(CSRC) | xargs -P 5 -n 4 sh -c 'clang-tidy -quiet "$$@" -- \
-	    $(filter-out -Werror,$(ALL)) -Icmd/ptnode -Icmd/ptproxy -Itest/cluster $(CHECKFLAGS) 2>/dev/null' tidy
+	    $(filter-out -Werror,$(ALL)) -Icmd/ptnode -Icmd/ptproxy -Itest/cluster -Itest/paused $(CHECKFLAGS) 2>/dev/null' tidy
 	cppcheck -q -j 4 --error-exitcode=1 --enable=warning,portability \
 	    --inline-suppr --library=gtk --suppress=missingInclude --suppress=memleak -D__GNUC__ \
-	    $(INC) -Icmd/ptnode -Icmd/ptproxy -Itest/cluster $(CSRC)
+	    $(INC) -Icmd/ptnode -Icmd/ptproxy -Itest/cluster -Itest/paused $(CSRC)
 
 .PHONY: all tests gen clean fmt fmt-check lint
 .SECONDARY:
--- a/adapter/h1/fetch.c
+++ b/adapter/h1/fetch.c
@@ -4,6 +4,7 @@
 #include <sys/queue.h>
 
 #include "port.h"
+#include "sysio.h"
 #include "rpcio.h"
 #include "h1.h"
 
@@ -20,8 +21,7 @@
 static void
 fetch_free(struct h1_fetch *f)
 {
-	if (f->timer != 0)
-		g_source_remove(f->timer);
+	sys_cancel(&f->timer);
 	h1_head_unref(f->head);
 	g_byte_array_unref(f->body);
 	g_free(f);
@@ -78,15 +78,14 @@
 static const struct h1_call_ops fetch_ops = { on_head, on_body, on_complete,
 	on_failed };
 
-static gboolean
-on_timeout(gpointer p)
+static void
+on_timeout(void *p)
 {
 	struct h1_fetch *f = p;
 
 	f->timer = 0;
 	h1_call_cancel(f->call);
 	fetch_fail(f, PT_ERROR_UNKNOWN, "no response before the time-out");
-	return G_SOURCE_REMOVE;
 }
 
 struct h1_fetch *
@@ -102,7 +101,8 @@
 	f->body_max = body_max;
 	f->cb = cb;
 	f->ctx = ctx;
-	f->timer = g_timeout_add(timeout_ms, on_timeout, f);
+	f->timer = sys_after(
+	    (gint64)timeout_ms * G_TIME_SPAN_MILLISECOND, on_timeout, f);
 	f->call = h1_call_new(p, &o);
 	return f;
 }
--- a/test/source_test.c
+++ b/test/source_test.c
@@ -21,6 +21,7 @@
 #include "call.h"
 #include "platform.h"
 #include "proxy.h"
+#include "paused.h"
 #include "run.h"
 
 #define MS G_TIME_SPAN_MILLISECOND
@@ -32,96 +33,10 @@
 /* Most calls per second that one node may make to a faulty store. */
 #define CALLS_PER_SECOND 4
 
-/* ---- clock ---- */
-
-struct timer {
-	TAILQ_ENTRY(timer) entry;
-	gint64 at;
-	guint id;
-	void (*cb)(void *);
-	void *arg;
-};
-
-static TAILQ_HEAD(timer_list, timer) timers;
-static gint64 now_us;
-static guint last_id;
-
-static gint64
-fake_now(void *ctx)
-{
-	return now_us;
-}
-
-const struct pt_clock sys_clock = { fake_now, NULL };
-
-guint
-sys_after(gint64 delay, void (*cb)(void *), void *arg)
-{
-	struct timer *t = g_new0(struct timer, 1), *x;
-
-	t->at = now_us + MAX(delay, 0);
-	t->id = ++last_id;
-	t->cb = cb;
-	t->arg = arg;
-	x = TAILQ_FIRST(&timers);
-	while (x != NULL && x->at <= t->at)
-		x = TAILQ_NEXT(x, entry);
-	if (x != NULL)
-		TAILQ_INSERT_BEFORE(x, t, entry);
-	else
-		TAILQ_INSERT_TAIL(&timers, t, entry);
-	return t->id;
-}
-
-void
-sys_cancel(guint *id)
-{
-	struct timer *t;
-
-	for (t = TAILQ_FIRST(&timers); t != NULL; t = TAILQ_NEXT(t, entry))
-		if (t->id == *id)
-			break;
-	if (t != NULL) {
-		TAILQ_REMOVE(&timers, t, entry);
-		g_free(t);
-	}
-	*id = 0;
-}
-
-struct sys_ticker {
-	int unused;
-};
-
-struct sys_ticker *
-sys_ticker_new(gint64 (*tick)(void *), void *arg)
-{
-	return g_new0(struct sys_ticker, 1);
-}
-
-void
-sys_ticker_kick(struct sys_ticker *t)
-{
-}
-
-void
-sys_ticker_free(struct sys_ticker *t)
-{
-	g_free(t);
-}
-
 static void
 advance(gint64 us)
 {
-	gint64 end = now_us + us;
-	struct timer *t;
-
-	while ((t = TAILQ_FIRST(&timers)) != NULL && t->at <= end) {
-		now_us = MAX(now_us, t->at);
-		TAILQ_REMOVE(&timers, t, entry);
-		t->cb(t->arg);
-		g_free(t);
-	}
-	now_us = end;
+	paused_advance(us, NULL);
 }
 
 /* ---- the store ---- */
@@ -260,7 +175,7 @@
 	gint64 delay = store.delay;
 
 	store.calls++;
-	c->expires = now_us + timeout_ms * MS;
+	c->expires = paused_now + timeout_ms * MS;
 	c->from_node = s;
 	if (fault == UP) {
 		if (wait_ms > 0 && c->from >= store.n - store.rewind) {
@@ -296,7 +211,8 @@
 		sys_cancel(&c->timer);
 		/* For a few nodes, a silent store leaves connections open. */
 		if (fault_of(c->from_node) == SILENT && store.cut != NULL)
-			c->timer = sys_after(c->expires - now_us, respond, c);
+			c->timer =
+			    sys_after(c->expires - paused_now, respond, c);
 		else
 			c->timer = sys_after(0, respond, c);
 	}
@@ -483,8 +399,7 @@
 		.slots = 1,
 		.state = REG_SERVING };
 
-	TAILQ_INIT(&timers);
-	now_us = 1000 * SECOND;
+	paused_now = 1000 * SECOND;
 	memset(&store, 0, sizeof(store));
 	memset(&p, 0, sizeof(p));
 	memset(&set, 0, sizeof(set));
@@ -517,32 +432,26 @@
 
 /* Frees what the callback of a timer would have freed. */
 static void
-drop_timer(struct timer *t)
+drop_timer(void (*cb)(void *), void *arg)
 {
-	struct message *m = t->arg;
-	struct pending *c = t->arg;
+	struct message *m = arg;
+	struct pending *c = arg;
 
-	if (t->cb == mesh_deliver) {
+	if (cb == mesh_deliver) {
 		g_bytes_unref(m->data);
 		g_free(m);
-	} else if (t->cb == respond || t->cb == poll_timeout) {
+	} else if (cb == respond || cb == poll_timeout) {
 		g_clear_error(&c->err);
 		g_free(c);
 	}
-	g_free(t);
 }
 
 static void
 teardown(void)
 {
-	struct timer *t;
-
 	source_free(p.source);
 	discovery_free(p.discovery);
-	while ((t = TAILQ_FIRST(&timers)) != NULL) {
-		TAILQ_REMOVE(&timers, t, entry);
-		drop_timer(t);
-	}
+	paused_clear(drop_timer);
 	adopt_free(p.adopt);
 	backend_free(p.backend);
 	sys_ticker_free(p.memb_ticker);
@@ -1109,7 +1018,7 @@
 static gint64
 mesh_in_force(gint64 version, gint64 max)
 {
-	gint64 since = now_us;
+	gint64 since = paused_now;
 	guint i;
 
 	do {
@@ -1120,8 +1029,8 @@
 		if (i == n_mesh)
 			break;
 		advance(10 * MS);
-	} while (now_us - since <= max);
-	return now_us - since;
+	} while (paused_now - since <= max);
+	return paused_now - since;
 }
 
 /* Cuts the nodes that are not in the set, and fails their polls. */
