--- a/cmd/ptproxy/ingress.c
+++ b/cmd/ptproxy/ingress.c
@@ -51,7 +51,7 @@
 {
 	if (c->request != NULL) {
 		c->ingress->busy--;
-		request_abandon(c->request, why);
+		request_abandon(c->request, 0, why);
 	}
 	LIST_REMOVE(c, entry);
 	h1_free(c->conn);
@@ -156,7 +156,7 @@
 
 	if (c->request != NULL) {
 		c->ingress->busy--;
-		request_abandon(c->request, why);
+		request_abandon(c->request, status, why);
 		c->request = NULL;
 	}
 	h1_put_status(s, status);
--- a/cmd/ptproxy/proxy.h
+++ b/cmd/ptproxy/proxy.h
@@ -296,8 +296,8 @@
 gboolean request_overdue(const struct request *, gint64 now);
 /* The caller closed the connection: reason of request_abandon(). */
 #define CALLER_LEFT "caller-left"
-/* Ends a request without an answer; "why" is logged. */
-void request_abandon(struct request *, const char *why);
+/* Ends a request; the status of the answer, 0: none, and "why" are logged. */
+void request_abandon(struct request *, int status, const char *why);
 void request_pause(struct request *, gboolean);
 
 /* Functions that a request calls on its caller's connection. */
--- a/cmd/ptproxy/request.c
+++ b/cmd/ptproxy/request.c
@@ -580,12 +580,12 @@
 }
 
 void
-request_abandon(struct request *r, const char *why)
+request_abandon(struct request *r, int status, const char *why)
 {
 	r->conn = NULL;
 	if (strcmp(why, CALLER_LEFT) == 0)
 		stats_add(r->proxy->stats, STAT_CALLERS_LEFT);
-	log_end(r, 0, why);
+	log_end(r, status, why);
 	xchg_cancel(r->xchg);
 	r->xchg = NULL;
 	attempt_done(r, LB_CANCELLED, NULL);
--- a/test/ingress_test.c
+++ b/test/ingress_test.c
@@ -5,6 +5,7 @@
 #include <gio/gio.h>
 #include <check.h>
 #include <rpc/rpc.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
 
@@ -613,20 +614,21 @@
 }
 END_TEST
 
-static char *ended; /* reasons of the events "request" */
+static char *ended; /* statuses and reasons of the events "request" */
 
 static void
-note_reason(
-    void *ctx, enum pt_level level, const char *name, const char *fields)
+note_end(void *ctx, enum pt_level level, const char *name, const char *fields)
 {
+	const char *status = strstr(fields, "status=");
 	const char *reason = strstr(fields, "reason=");
 	char *all;
 
 	if (strcmp(name, "request") != 0 || reason == NULL)
 		return;
 	reason += strlen("reason=");
-	all = g_strdup_printf("%s%.*s ", ended != NULL ? ended : "",
-	    (int)strcspn(reason, " "), reason);
+	all = g_strdup_printf("%s%d %.*s ", ended != NULL ? ended : "",
+	    atoi(status + strlen("status=")), (int)strcspn(reason, " "),
+	    reason);
 	g_free(ended);
 	ended = all;
 }
@@ -642,7 +644,7 @@
 	GSocket *s[3];
 	guint i;
 
-	p.events.event = note_reason;
+	p.events.event = note_end;
 	for (i = 0; i < G_N_ELEMENTS(s); i++) {
 		s[i] = loop_connect(HOST, port_of(0));
 		loop_send(s[i], head);
@@ -653,11 +655,11 @@
 	UNTIL(ingress_busy(p.ingress) == 3);
 	loop_close(s[0]);
 	UNTIL(ingress_busy(p.ingress) == 2);
-	ck_assert_str_eq(ended, "caller-left ");
+	ck_assert_str_eq(ended, "0 caller-left ");
 	g_free(loop_expect(s[1], " 408 "));
-	ck_assert_str_eq(ended, "caller-left slow ");
+	ck_assert_str_eq(ended, "0 caller-left 408 slow ");
 	g_clear_pointer(&p.ingress, ingress_free);
-	ck_assert_str_eq(ended, "caller-left slow stopped ");
+	ck_assert_str_eq(ended, "0 caller-left 408 slow 0 stopped ");
 	loop_close(s[1]);
 	loop_close(s[2]);
 	g_clear_pointer(&ended, g_free);
