--- a/cmd/ptproxy/backend.c
+++ b/cmd/ptproxy/backend.c
@@ -158,6 +158,8 @@
 		return "not-serving";
 	case ADM_EXPIRED:
 		return "expired";
+	case ADM_ENDING:
+		return STOPPING;
 	default:
 		return "cancelled";
 	}
@@ -425,11 +427,19 @@
 }
 
 static void
-adm_drop_run(void *ctx, struct adm_job *j, enum adm_verdict why)
+refuse_verdict(struct run *r, enum adm_verdict v)
 {
-	struct run *r = (struct run *)((char *)j - offsetof(struct run, job));
+	refuse_later(r, verdict_name(v));
+	/* Another upstream may still take it: the wait here says nothing. */
+	if (v == ADM_ENDING)
+		r->retry_ms = 0;
+}
 
-	refuse_later(r, verdict_name(why));
+static void
+adm_drop_run(void *ctx, struct adm_job *j, enum adm_verdict why)
+{
+	refuse_verdict(
+	    (struct run *)((char *)j - offsetof(struct run, job)), why);
 }
 
 static gint64
@@ -542,6 +552,7 @@
 	adm_state(b->adm, open ? PT_SERVING : PT_LEFT);
 	if (!open)
 		adm_drop_all(b->adm, ADM_NOT_SERVING);
+	adm_end(b->adm, stop_answers_until(p));
 	adm_slots(b->adm, reg_slots(p->reg));
 	adm_limit(b->adm, reg_limit(p->reg));
 	sys_ticker_kick(b->ticker);
@@ -592,9 +603,11 @@
 	r->job.cost = cost_get(b->cost, fwd->route);
 	r->job.caller_retry = fwd->caller_retry;
 	r->job.once = fwd->once;
+	r->job.longest = cost_high(b->cost, fwd->route);
+	r->job.end = fwd->end;
 	v = adm_submit(b->adm, &r->job, fwd->priority, fwd->deadline);
 	if (v != ADM_STARTED && v != ADM_QUEUED)
-		refuse_later(r, verdict_name(v));
+		refuse_verdict(r, v);
 	sys_ticker_kick(b->ticker);
 	return &r->x;
 }
@@ -614,6 +627,50 @@
 		}
 }
 
+gboolean
+backend_recall(struct xchg *x, gint64 end)
+{
+	struct run *r = (struct run *)x;
+
+	if (r->call != NULL)
+		return FALSE;
+	adm_end_job(r->backend->adm, &r->job, end);
+	sys_ticker_kick(r->backend->ticker);
+	return TRUE;
+}
+
+/* Fails a run in whatever state it is. */
+static void
+run_end(struct run *r)
+{
+	if (r->call == NULL) {
+		adm_cancel(r->backend->adm, &r->job);
+		run_fail(r, FAIL_REFUSED, STOPPING, 0);
+		return;
+	}
+	h1_call_cancel(r->call);
+	r->call = NULL;
+	end_run(r);
+	run_fail(r, FAIL_LOST, STOPPING, 0);
+}
+
+void
+backend_end(struct backend *b)
+{
+	struct run *r;
+
+	adm_close(b->adm);
+	adm_drop_all(b->adm, ADM_NOT_SERVING);
+	while ((r = LIST_FIRST(&b->runs)) != NULL)
+		run_end(r);
+}
+
+gint64
+backend_longest(const struct backend *b)
+{
+	return cost_highest(b->cost);
+}
+
 static void
 run_cancel(struct xchg *x)
 {
--- a/cmd/ptproxy/inbound.c
+++ b/cmd/ptproxy/inbound.c
@@ -352,6 +352,7 @@
 	fwd->caller_service = g_strdup(r->caller);
 	fwd->deadline = now + r->remaining;
 	fwd->target = now + r->target_remaining;
+	fwd->end = r->end_remaining >= 0 ? now + r->end_remaining : 0;
 	fwd->priority = r->priority;
 	fwd->once = r->once;
 	fwd->caller_retry = r->caller_retry;
@@ -359,12 +360,55 @@
 	return fwd;
 }
 
+/* The requests that another node names are not to outlast its end. */
+static void
+recall(struct inconn *c, gint64 remaining)
+{
+	struct inbound *s = c->inbound;
+	gint64 end = pt_now(&s->proxy->clock) + remaining;
+	GHashTable *ids = g_hash_table_new(g_str_hash, g_str_equal);
+	char *text = g_strndup((const char *)c->body->data, c->body->len);
+	char **list = g_strsplit(text, "\n", -1), **id;
+	struct inconn *x;
+	guint found = 0;
+
+	for (id = list; *id != NULL; id++)
+		if (**id != '\0')
+			g_hash_table_add(ids, *id);
+	LIST_FOREACH(x, &s->conns, entry)
+	if (x->xchg != NULL && x->fwd->attempt_id != NULL &&
+	    g_hash_table_contains(ids, x->fwd->attempt_id))
+		found += backend_recall(x->xchg, end);
+	pt_event(&s->proxy->events, PT_LEVEL_INFO, "recalled",
+	    "requests=%u waiting=%u left_ms=%" G_GINT64_FORMAT,
+	    g_hash_table_size(ids), found, remaining / G_TIME_SPAN_MILLISECOND);
+	g_hash_table_unref(ids);
+	g_strfreev(list);
+	g_free(text);
+}
+
+/* Responds to a message that is not a request for the backend server. */
+static void
+send_done(struct inconn *c)
+{
+	GString *s = g_string_new(NULL);
+
+	h1_put_status(s, 200);
+	h1_put_int(s, "Content-Length", 0);
+	h1_put_end(s);
+	h1_send(c->conn, s->str, s->len);
+	g_string_free(s, TRUE);
+	inconn_clear(c);
+	h1_read_next(c->conn);
+}
+
 static void
 submit(struct inconn *c)
 {
 	struct proxy *p = c->inbound->proxy;
 	struct failure f = { FAIL_REFUSED, "unreadable", 0, NULL };
 	struct peerhdr_request r;
+	gint64 remaining;
 
 	c->busy = TRUE;
 	c->inbound->busy++;
@@ -374,6 +418,11 @@
 		send_failure(c, &f);
 		return;
 	}
+	if (peerhdr_recall_read(c->head, &remaining)) {
+		recall(c, remaining);
+		send_done(c);
+		return;
+	}
 	if (!peerhdr_request_read(c->head, &r)) {
 		send_failure(c, &f);
 		return;
--- a/cmd/ptproxy/ingress.c
+++ b/cmd/ptproxy/ingress.c
@@ -279,6 +279,18 @@
 	g_clear_pointer(&in->listener, rpcio_listen_free);
 }
 
+void
+ingress_refuse_late(struct ingress *in)
+{
+	struct caller_conn *c, *next;
+
+	for (c = LIST_FIRST(&in->conns); c != NULL; c = next) {
+		next = LIST_NEXT(c, entry);
+		if (c->request != NULL && !c->complete)
+			request_refuse_late(c->request);
+	}
+}
+
 void
 ingress_close_idle(struct ingress *in)
 {
--- a/cmd/ptproxy/peer.c
+++ b/cmd/ptproxy/peer.c
@@ -25,6 +25,10 @@
 #define PROBE_AFTER_US (250 * G_TIME_SPAN_MILLISECOND)
 /* A node that does not respond to a probe within this time is silent. */
 #define PROBE_MS 300
+/* Time-out of a recall, which is then sent again. */
+#define RECALL_MS 300
+/* Largest body of an answer to a probe or a recall, in bytes. */
+#define ANSWER_MAX 4096
 /* The connections to a node are dropped when unused for this long. */
 #define UNUSED_US (60 * G_TIME_SPAN_SECOND)
 
@@ -36,6 +40,7 @@
 	gint64 last_used;
 	gint64 last_response;
 	struct h1_fetch *probe; /* in progress, or NULL */
+	struct h1_fetch *recall; /* in progress, or NULL */
 	struct peers *peers;
 	LIST_HEAD(peer_xchg_list, peer_xchg) xchgs;
 };
@@ -56,7 +61,9 @@
 	void *ctx;
 	guint timer, probe_timer;
 	gint64 sent_at;
-	gboolean once;
+	struct fwd *fwd;
+	gboolean recalled; /* the node knows when this process ends */
+	gboolean answered; /* the response has begun */
 	gboolean refused; /* the node responded with a failure of its own */
 	gboolean has_report;
 	struct failure failure;
@@ -70,6 +77,7 @@
 	struct peer *x = p;
 
 	h1_fetch_cancel(x->probe);
+	h1_fetch_cancel(x->recall);
 	h1_pool_free(x->pool);
 	g_free(x->host);
 	g_free(x);
@@ -136,7 +144,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		x = v;
 		h1_pool_sweep(x->pool);
-		if (x->calls == 0 && x->probe == NULL &&
+		if (x->calls == 0 && x->probe == NULL && x->recall == NULL &&
 		    now - x->last_used > UNUSED_US)
 			g_hash_table_iter_remove(&it);
 	}
@@ -150,6 +158,7 @@
 	LIST_REMOVE(e, entry);
 	e->peer->calls--;
 	e->peer->last_used = pt_now(&e->peers->proxy->clock);
+	fwd_unref(e->fwd);
 	g_free(e->instance);
 	g_free(e->why);
 	g_free(e);
@@ -181,6 +190,7 @@
 {
 	struct peer_xchg *e = ctx;
 
+	e->answered = TRUE;
 	e->peer->last_response = pt_now(&e->peers->proxy->clock);
 	e->has_report = peerhdr_report_read(head, &e->report);
 	read_statement(e, head);
@@ -252,7 +262,7 @@
 	    "host=%s calls=%u", p->host, p->calls);
 	for (e = LIST_FIRST(&p->xchgs); e != NULL; e = next) {
 		next = LIST_NEXT(e, entry);
-		if (e->once || e->sent_at < p->last_response ||
+		if (e->fwd->once || e->sent_at < p->last_response ||
 		    (e->ops->silent != NULL && !e->ops->silent(e->ctx)))
 			continue;
 		h1_call_cancel(e->call);
@@ -283,7 +293,8 @@
 	static const char text[] = "GET / HTTP/1.1\r\nHost: node\r\n\r\n";
 	GBytes *b = g_bytes_new_static(text, strlen(text));
 
-	p->probe = h1_fetch_new(p->pool, b, PROBE_MS, 4096, probe_done, p);
+	p->probe =
+	    h1_fetch_new(p->pool, b, PROBE_MS, ANSWER_MAX, probe_done, p);
 	g_bytes_unref(b);
 }
 
@@ -300,6 +311,89 @@
 		send_probe(p);
 }
 
+/* ---- the end of this process ---- */
+
+static void
+recall_done(void *ctx, const struct h1_head *head, const GByteArray *body,
+    const GError *err)
+{
+	struct peer *p = ctx;
+	struct peer_xchg *e;
+
+	p->recall = NULL;
+	if (err == NULL)
+		return;
+	pt_event(&p->peers->proxy->events, PT_LEVEL_WARNING, "recall-failed",
+	    "host=%s text=\"%s\"", p->host, err->message);
+	LIST_FOREACH(e, &p->xchgs, entry)
+	e->recalled = e->fwd->end != 0;
+}
+
+/* Marks and returns the ids of the requests that may outlast "end". */
+static GPtrArray *
+to_recall(struct peer *p, gint64 end)
+{
+	GPtrArray *ids = g_ptr_array_new();
+	struct peer_xchg *e;
+
+	LIST_FOREACH(e, &p->xchgs, entry)
+	{
+		if (e->recalled || e->answered || e->fwd->deadline <= end ||
+		    e->fwd->attempt_id == NULL)
+			continue;
+		e->recalled = TRUE;
+		g_ptr_array_add(ids, e->fwd->attempt_id);
+	}
+	return ids;
+}
+
+static void
+peer_recall(struct peer *p, gint64 end)
+{
+	gint64 now = pt_now(&p->peers->proxy->clock);
+	GPtrArray *ids;
+	GBytes *b;
+
+	if (p->recall != NULL || now >= end)
+		return;
+	ids = to_recall(p, end);
+	if (ids->len > 0) {
+		pt_event(&p->peers->proxy->events, PT_LEVEL_INFO, "recall",
+		    "host=%s requests=%u", p->host, ids->len);
+		b = peerhdr_recall(ids, end - now);
+		p->recall = h1_fetch_new(
+		    p->pool, b, RECALL_MS, ANSWER_MAX, recall_done, p);
+		g_bytes_unref(b);
+	}
+	g_ptr_array_unref(ids);
+}
+
+void
+peers_recall(struct peers *p, gint64 end)
+{
+	GHashTableIter it;
+	gpointer x;
+
+	g_hash_table_iter_init(&it, p->by_host);
+	while (g_hash_table_iter_next(&it, NULL, &x))
+		peer_recall(x, end);
+}
+
+void
+peers_end(struct peers *p)
+{
+	GHashTableIter it;
+	struct peer_xchg *e;
+	gpointer x;
+
+	g_hash_table_iter_init(&it, p->by_host);
+	while (g_hash_table_iter_next(&it, NULL, &x))
+		while ((e = LIST_FIRST(&((struct peer *)x)->xchgs)) != NULL) {
+			h1_call_cancel(e->call);
+			peer_xchg_fail(e, FAIL_LOST, STOPPING);
+		}
+}
+
 static void
 peer_xchg_cancel(struct xchg *x)
 {
@@ -338,7 +432,8 @@
 	e->peer = peer_get(p, m);
 	e->peer->calls++;
 	LIST_INSERT_HEAD(&e->peer->xchgs, e, entry);
-	e->once = fwd->once;
+	e->fwd = fwd_ref(fwd);
+	e->recalled = fwd->end != 0;
 	e->sent_at = now;
 	e->probe_timer = sys_after(PROBE_AFTER_US, probe_if_due, e);
 	e->ops = ops;
--- a/cmd/ptproxy/peerhdr.c
+++ b/cmd/ptproxy/peerhdr.c
@@ -20,9 +20,12 @@
 #define FIELD_LOAD "Pt-Load"
 #define FIELD_OUTCOME "Pt-Outcome"
 #define FIELD_SERVER "Pt-Server"
+#define FIELD_RECALL "Pt-Recall"
 
 /* A limit is sent in requests for this many seconds. */
 #define LIMIT_SECONDS 1000
+/* A longer time until the end of a node is cut to this. */
+#define END_MAX_US G_TIME_SPAN_HOUR
 
 gboolean
 peerhdr_field(const char *name)
@@ -30,7 +33,8 @@
 	return g_ascii_strcasecmp(name, FIELD_REQUEST) == 0 ||
 	       g_ascii_strcasecmp(name, FIELD_LOAD) == 0 ||
 	       g_ascii_strcasecmp(name, FIELD_OUTCOME) == 0 ||
-	       g_ascii_strcasecmp(name, FIELD_SERVER) == 0;
+	       g_ascii_strcasecmp(name, FIELD_SERVER) == 0 ||
+	       g_ascii_strcasecmp(name, FIELD_RECALL) == 0;
 }
 
 static void
@@ -63,6 +67,8 @@
 	put_number(v, "once", fwd->once);
 	put_number(v, "returned", fwd->caller_retry);
 	put_number(v, "repeat", fwd->repeat);
+	if (fwd->end != 0)
+		put_number(v, "end", MAX(fwd->end - now, 0));
 	h1_put(s, FIELD_REQUEST, v->str);
 	g_string_free(v, TRUE);
 }
@@ -124,6 +130,10 @@
 	     get_number(v, "once", &once) &&
 	     get_number(v, "returned", &caller_retry) &&
 	     get_number(v, "repeat", &repeat);
+	if (get_number(v, "end", &r->end_remaining))
+		r->end_remaining = CLAMP(r->end_remaining, 0, END_MAX_US);
+	else
+		r->end_remaining = -1;
 	r->priority = (int)CLAMP(priority, 0, G_MAXINT);
 	r->once = once != 0;
 	r->caller_retry = caller_retry != 0;
@@ -142,6 +152,39 @@
 	g_clear_pointer(&r->caller, g_free);
 }
 
+GBytes *
+peerhdr_recall(const GPtrArray *attempt_ids, gint64 remaining)
+{
+	GString *s = g_string_new(NULL), *ids = g_string_new(NULL);
+	GString *v = g_string_new(NULL);
+	guint i;
+
+	for (i = 0; i < attempt_ids->len; i++)
+		g_string_append_printf(ids, "%s\n",
+		    (const char *)g_ptr_array_index(attempt_ids, i));
+	put_number(v, "left", remaining);
+	h1_put_request(s, "POST", "/");
+	h1_put(s, "Host", "node");
+	h1_put(s, FIELD_RECALL, v->str);
+	h1_put_int(s, "Content-Length", (gint64)ids->len);
+	h1_put_end(s);
+	g_string_append_len(s, ids->str, (gssize)ids->len);
+	g_string_free(v, TRUE);
+	g_string_free(ids, TRUE);
+	return g_string_free_to_bytes(s);
+}
+
+gboolean
+peerhdr_recall_read(const struct h1_head *h, gint64 *remaining)
+{
+	const char *v = h1_head_get(h, FIELD_RECALL);
+
+	if (v == NULL || !get_number(v, "left", remaining))
+		return FALSE;
+	*remaining = CLAMP(*remaining, 0, END_MAX_US);
+	return TRUE;
+}
+
 void
 peerhdr_statement_put(GString *s, const struct reg_statement *x)
 {
--- a/cmd/ptproxy/proxy.h
+++ b/cmd/ptproxy/proxy.h
@@ -17,7 +17,7 @@
 
 /*
  * A request as this node sends it.  A retry sends the same structure again:
- * only "refs" and "repeat" change after it was created.
+ * only "refs", "repeat" and "end" change after it was created.
  */
 struct fwd {
 	guint refs;
@@ -30,6 +30,7 @@
 	/* Times on this process's clock. */
 	gint64 deadline;
 	gint64 target; /* time by which a response is worth most */
+	gint64 end; /* the caller's node ends then, 0: not known */
 	int priority;
 	gboolean once; /* must not run twice */
 	gboolean caller_retry; /* probable retry of a refused request */
@@ -132,6 +133,7 @@
 	char *caller; /* service that sent the request */
 	gint64 remaining; /* time until the deadline, in us */
 	gint64 target_remaining; /* time until the target, in us */
+	gint64 end_remaining; /* time until the sender ends, -1: not known */
 	int priority;
 	gboolean once, caller_retry, repeat;
 };
@@ -139,6 +141,13 @@
 gboolean peerhdr_request_read(const struct h1_head *, struct peerhdr_request *);
 void peerhdr_request_clear(struct peerhdr_request *);
 
+/*
+ * A message that names requests, which the receiver is to refuse unless they
+ * are over when the sender ends, in "remaining" us.
+ */
+GBytes *peerhdr_recall(const GPtrArray *attempt_ids, gint64 remaining);
+gboolean peerhdr_recall_read(const struct h1_head *, gint64 *remaining);
+
 /*
  * What the backend server of the receiver (in a request) or of the sender (in a
  * response) says of itself.  A response carries it if the request did, or if it
@@ -185,6 +194,15 @@
 
 /* Refuses the queued requests that are in quarantine. */
 void backend_drop_quarantined(struct backend *);
+/*
+ * The process that awaits the response ends at "end": refuses the request if it
+ * waits and is not expected to be over by then.  TRUE: it waits, or waited.
+ */
+gboolean backend_recall(struct xchg *, gint64 end);
+/* Fails all requests: this process ends. */
+void backend_end(struct backend *);
+/* Longest likely time of a request at the server, 0: not known. */
+gint64 backend_longest(const struct backend *);
 
 /* ---- quarantine.c: requests that end the servers that run them ---- */
 
@@ -261,6 +279,14 @@
 struct xchg *peers_submit(struct peers *, const struct memb_member *,
     struct fwd *, const struct xchg_ops *, void *ctx);
 void peers_sweep(struct peers *);
+/*
+ * Asks the nodes to refuse the requests that wait there and are not expected to
+ * be over at "end".  Call it again: it asks each node once, and after a failure
+ * again.
+ */
+void peers_recall(struct peers *, gint64 end);
+/* Fails all exchanges: this process ends. */
+void peers_end(struct peers *);
 
 /* ---- inbound.c: requests from other nodes ---- */
 
@@ -284,6 +310,8 @@
 /* Closes the idle connections; others close after their response. */
 void ingress_close_idle(struct ingress *);
 void ingress_close_listener(struct ingress *); /* stops accepting */
+/* Refuses requests still being read whose answers would come too late. */
+void ingress_refuse_late(struct ingress *);
 
 struct caller_conn;
 struct request;
@@ -292,6 +320,8 @@
 /* Adds a part of the body; FALSE: refused, a response was sent. */
 gboolean request_body(struct request *, const char *, gsize);
 void request_dispatch(struct request *);
+/* Refuses a request that is not complete, if this process ends before it. */
+void request_refuse_late(struct request *);
 /* TRUE if a request that is not complete has passed its time. */
 gboolean request_overdue(const struct request *, gint64 now);
 /* The caller closed the connection: reason of request_abandon(). */
@@ -459,6 +489,7 @@
 	gint64 started_at; /* start on the process's clock, see proxy_ready() */
 	gboolean stopping;
 	gboolean draining; /* the backend server gets no more requests */
+	gboolean ended; /* all requests have been answered, more are refused */
 	gint64 stop_at; /* time of the stop signal on the process's clock */
 	guint stop_timer;
 	void (*stopped)(void *);
@@ -478,12 +509,24 @@
  */
 gint64 proxy_jitter(const struct proxy *, gint64 us);
 
-/* stop.c: graceful shutdown */
+/* ---- stop.c: graceful shutdown ---- */
+
+/* Reason of a refusal: the process that awaits the response ends before it. */
+#define STOPPING "stopping"
+
 void stop_begin(struct proxy *);
 /* What the shutdown waits for: requests, and answers not yet written. */
 guint stop_busy(const struct proxy *);
+/* Time from the stop signal until the last answers are sent. */
+gint64 stop_end(gint64 grace);
 /*
- * Time from the stop signal for which the backend server still gets requests
- * of other nodes: the last of them must end within the grace time.
+ * Time from the stop signal for which the backend server still gets requests of
+ * other nodes: the last of them, which may take "longest", must end in time.
  */
-gint64 stop_drain_delay(gint64 grace);
+gint64 stop_drain_delay(gint64 grace, gint64 longest);
+/* Time until which answers of upstreams are awaited; 0: not stopping. */
+gint64 stop_answers_until(const struct proxy *);
+/* TRUE if a request with this deadline is not passed on any more. */
+gboolean stop_refuses(const struct proxy *, gint64 deadline);
+/* Time until callers use other nodes. */
+int stop_retry_ms(const struct proxy *);
--- a/cmd/ptproxy/request.c
+++ b/cmd/ptproxy/request.c
@@ -244,7 +244,7 @@
 	    r->n_tried < ATTEMPTS_MAX)
 		return TRUE;
 	if (r->fwd->once || r->begun || r->n_ran >= r->route->attempts ||
-	    r->n_tried >= ATTEMPTS_MAX ||
+	    r->n_tried >= ATTEMPTS_MAX || r->proxy->ended ||
 	    r->fwd->deadline - now_of(r) < REMAINING_MIN ||
 	    quarantine_suspects(r->proxy->quarantine, r->fwd))
 		return FALSE;
@@ -255,7 +255,7 @@
 static gboolean
 may_reroute(struct request *r)
 {
-	return r->n_tried < ATTEMPTS_MAX &&
+	return r->n_tried < ATTEMPTS_MAX && !r->proxy->ended &&
 	       r->fwd->deadline - now_of(r) >= REMAINING_MIN;
 }
 
@@ -322,7 +322,9 @@
 		submit(r);
 		return;
 	}
-	respond_refused(r, f->reason, r->retry_ms);
+	respond_refused(r, f->reason,
+	    strcmp(f->reason, STOPPING) == 0 ? stop_retry_ms(r->proxy)
+					     : r->retry_ms);
 }
 
 static void
@@ -455,6 +457,7 @@
 		return;
 	}
 	r->fwd->repeat = r->n_ran > 0;
+	r->fwd->end = stop_answers_until(p);
 	r->tried[r->n_tried++] = g_strdup(lb_call_instance(r->lb_call));
 	r->sent_at = now_of(r);
 	m = memb_find(p->memb, lb_call_instance(r->lb_call));
@@ -516,11 +519,21 @@
 	return TRUE;
 }
 
+/* Time by which a request is answered; the route may be NULL. */
+static gint64
+deadline_of(const struct request *r, const struct rtab_route *route)
+{
+	gint64 remaining = r->remaining >= 0 ? r->remaining : TIMEOUT_DEFAULT;
+
+	if (route != NULL)
+		remaining = MIN(remaining, route->timeout);
+	return r->arrived + remaining;
+}
+
 static struct fwd *
 fwd_new(struct request *r, const char *service)
 {
 	struct fwd *fwd = g_new0(struct fwd, 1);
-	gint64 remaining = r->remaining >= 0 ? r->remaining : TIMEOUT_DEFAULT;
 	gint64 spent = retry_time_spent(r->proxy->retry_times, r->route->name,
 	    r->remaining, caller_first_request(r->conn));
 
@@ -531,7 +544,7 @@
 	fwd->route = g_strdup(r->route->name);
 	fwd->service = g_strdup(service);
 	fwd->caller_service = g_strdup(r->proxy->set->service);
-	fwd->deadline = r->arrived + MIN(remaining, r->route->timeout);
+	fwd->deadline = deadline_of(r, r->route);
 	/*
 	 * In an overload callers retry, and measure latency from their first
 	 * attempt: the time spent on earlier ones is deducted.  With a full
@@ -566,12 +579,28 @@
 		respond_local(r, 404, "no-route", 0);
 		return;
 	}
+	if (stop_refuses(p, deadline_of(r, r->route))) {
+		respond_local(r, 503, STOPPING, stop_retry_ms(p));
+		return;
+	}
 	r->fwd = fwd_new(r, rtab_wrr_pick(p->wrr, r->route));
 	r->counted = budget_begin(p->budget, r->fwd->service);
 	r->timer = sys_after(r->fwd->deadline - r->arrived, on_expired, r);
 	submit(r);
 }
 
+void
+request_refuse_late(struct request *r)
+{
+	const char *host = h1_head_get(r->head, "Host");
+	const struct rtab_route *route = NULL;
+
+	if (r->proxy->rtab != NULL && host != NULL)
+		route = rtab_match(r->proxy->rtab, host, r->head->target);
+	if (stop_refuses(r->proxy, deadline_of(r, route)))
+		respond_local(r, 503, STOPPING, stop_retry_ms(r->proxy));
+}
+
 gboolean
 request_overdue(const struct request *r, gint64 now)
 {
--- a/core/call/adm.c
+++ b/core/call/adm.c
@@ -102,6 +102,7 @@
 	guint running, queued;
 	struct average slot_time; /* of calls of all ranks */
 	gint64 next_expiry;
+	gint64 end; /* see adm_end() */
 	int wait_ms[PT_RANKS_MAX]; /* storage of the last load report */
 };
 
@@ -324,6 +325,26 @@
 	return j->cost > 0 ? (double)j->cost : q->slot_time.mean;
 }
 
+/* Time from which no one awaits the response any more. */
+static gint64
+end_of(const struct adm *a, const struct adm_job *j)
+{
+	gint64 end = a->end != 0 ? a->end : G_MAXINT64;
+
+	return j->end != 0 ? MIN(end, j->end) : end;
+}
+
+/* Latest start of a call that is over by its end. */
+static gint64
+last_start_by_end(const struct adm *a, const struct adm_job *j)
+{
+	gint64 end = end_of(a, j);
+
+	if (j->deadline <= end)
+		return G_MAXINT64;
+	return j->longest > 0 ? end - j->longest : G_MININT64;
+}
+
 /*
  * Latest start of a call with an expected time.  If less than half of that time
  * is left, the call would probably be cut off at its deadline, and its outcome
@@ -331,9 +352,10 @@
  * an unknown outcome needs its full expected time.
  */
 static gint64
-last_start(const struct adm_job *j)
+last_start(const struct adm *a, const struct adm_job *j)
 {
-	return j->deadline - MAX(j->cost, 0) / (j->once ? 1 : 2);
+	return MIN(j->deadline - MAX(j->cost, 0) / (j->once ? 1 : 2),
+	    last_start_by_end(a, j));
 }
 
 /*
@@ -345,7 +367,7 @@
     const struct adm_job *j, gint64 now)
 {
 	if (j->cost > 0)
-		return now > last_start(j);
+		return now > last_start(a, j);
 	return a->queued > 1 &&
 	       (double)(j->deadline - now) < expected_time(q, j) / 2;
 }
@@ -409,6 +431,14 @@
 	return j != NULL ? j : TAILQ_FIRST(&r->queues[LATE].jobs);
 }
 
+/* Why a queued call that cannot start now is dropped. */
+static enum adm_verdict
+drop_reason(const struct adm *a, const struct adm_job *j, gint64 now,
+    enum adm_verdict otherwise)
+{
+	return now >= last_start_by_end(a, j) ? ADM_ENDING : otherwise;
+}
+
 static gboolean
 may_start(const struct adm *a, gint64 now)
 {
@@ -427,9 +457,11 @@
 	a->filling = TRUE;
 	while (may_start(a, now) && (r = next_rank(a)) != NULL) {
 		j = next_job(a, r, now);
-		if (j->deadline <= now ||
+		if (j->deadline <= now || now > last_start_by_end(a, j) ||
 		    cannot_finish(a, queue_of(a, j), j, now)) {
-			drop(a, j, j->deadline <= now ? ADM_EXPIRED : ADM_LATE);
+			drop(a, j,
+			    drop_reason(a, j, now,
+				j->deadline <= now ? ADM_EXPIRED : ADM_LATE));
 			continue;
 		}
 		charge_start(a, r);
@@ -618,9 +650,15 @@
 	return (double)(j->deadline - now - wait) < expected_time(q, j);
 }
 
-/* Drops the queued calls that a lower limit leaves no time for. */
+/*
+ * Drops the queued calls that a condition holds for.  The last ones first: each
+ * leaves those before it the same wait.
+ */
 static void
-drop_hopeless(struct adm *a)
+drop_if(struct adm *a,
+    gboolean (*cond)(
+	struct adm *, const struct queue *, const struct adm_job *, gint64 now),
+    enum adm_verdict why)
 {
 	gint64 now = pt_now(&a->o.clock);
 	struct adm_job *j, *before;
@@ -632,8 +670,8 @@
 		for (j = TAILQ_LAST(&q->jobs, job_list); j != NULL;
 		     j = before) {
 			before = TAILQ_PREV(j, job_list, link);
-			if (hopeless(a, q, j, now))
-				drop(a, j, ADM_LATE);
+			if (cond(a, q, j, now))
+				drop(a, j, why);
 		}
 	}
 }
@@ -647,7 +685,7 @@
 	} else if (a->checked_limit < 0 ||
 		   per_s < a->checked_limit * LIMIT_LOWER) {
 		a->checked_limit = per_s;
-		drop_hopeless(a);
+		drop_if(a, hopeless, ADM_LATE);
 	}
 	fill_slots(a);
 }
@@ -705,6 +743,17 @@
 	return (double)(j->deadline - now - w) >= expected_time(q, j);
 }
 
+/* TRUE if a call that waits is not expected to be over by its end. */
+static gboolean
+outlasts_end(
+    struct adm *a, const struct queue *q, const struct adm_job *j, gint64 now)
+{
+	gint64 last = last_start_by_end(a, j);
+
+	return last != G_MAXINT64 &&
+	       now + expected_wait_at(a, j->order, j, now) > last;
+}
+
 enum adm_verdict
 adm_submit(struct adm *a, struct adm_job *j, int order, gint64 deadline)
 {
@@ -719,6 +768,8 @@
 		return ADM_NOT_SERVING;
 	if (deadline <= now)
 		return ADM_EXPIRED;
+	if (now > last_start_by_end(a, j))
+		return ADM_ENDING;
 	if (may_start(a, now) && a->queued == 0) {
 		start(a, j, now);
 		return ADM_STARTED;
@@ -730,8 +781,10 @@
 		: wait_too_long(a, r, expected_wait_at(a, order, NULL, now),
 		      deadline - now, now))
 		return ADM_LATE;
+	if (outlasts_end(a, queue_of(a, j), j, now))
+		return ADM_ENDING;
 	link_job(a, j);
-	a->next_expiry = MIN(a->next_expiry, last_start(j));
+	a->next_expiry = MIN(a->next_expiry, last_start(a, j));
 	return ADM_QUEUED;
 }
 
@@ -769,6 +822,27 @@
 	return TRUE;
 }
 
+void
+adm_end(struct adm *a, gint64 end)
+{
+	if (end == a->end)
+		return;
+	a->end = end;
+	a->next_expiry = 0;
+	drop_if(a, outlasts_end, ADM_ENDING);
+}
+
+void
+adm_end_job(struct adm *a, struct adm_job *j, gint64 end)
+{
+	if (j->state != JOB_QUEUED)
+		return;
+	j->end = end;
+	a->next_expiry = 0;
+	if (outlasts_end(a, queue_of(a, j), j, pt_now(&a->o.clock)))
+		drop(a, j, ADM_ENDING);
+}
+
 void
 adm_drop_all(struct adm *a, enum adm_verdict why)
 {
@@ -804,10 +878,10 @@
 		for (j = TAILQ_FIRST(&queue_at(a, i)->jobs); j != NULL;
 		     j = after) {
 			after = TAILQ_NEXT(j, link);
-			if (last_start(j) <= now)
-				drop(a, j, ADM_EXPIRED);
+			if (last_start(a, j) <= now)
+				drop(a, j, drop_reason(a, j, now, ADM_EXPIRED));
 			else
-				next = MIN(next, last_start(j));
+				next = MIN(next, last_start(a, j));
 		}
 	}
 	a->next_expiry = MIN(a->next_expiry, next);
--- a/core/call/call.h
+++ b/core/call/call.h
@@ -182,6 +182,7 @@
 	ADM_FULL, /* not run: the queue of the rank is full */
 	ADM_NOT_SERVING, /* not run: booting, drained or without slots */
 	ADM_EXPIRED, /* not run: the deadline passed */
+	ADM_ENDING, /* not run: might outlast the process that awaits it */
 	ADM_CANCELLED /* not run: the caller gave up */
 };
 
@@ -195,6 +196,8 @@
 	gint64 cost; /* expected time in a slot */
 	gboolean caller_retry; /* the caller's retry of a refused call */
 	gboolean once; /* cannot be repeated once it has started */
+	gint64 longest; /* time in a slot that few calls exceed */
+	gint64 end; /* the process that awaits the response ends then */
 	/* Private. */
 	TAILQ_ENTRY(adm_job) link;
 	int order;
@@ -215,7 +218,7 @@
 	void (*start)(void *ctx, struct adm_job *);
 	/*
 	 * A queued call was dropped without being run: ADM_EXPIRED, ADM_LATE if
-	 * it had too little time left, or ADM_NOT_SERVING.
+	 * it had too little time left, ADM_ENDING or ADM_NOT_SERVING.
 	 */
 	void (*drop)(void *ctx, struct adm_job *, enum adm_verdict why);
 	void *ctx;
@@ -277,6 +280,17 @@
  */
 gboolean adm_cancel(struct adm *, struct adm_job *);
 
+/*
+ * Sets the time at which this process ends, 0: not known.  From then on a call
+ * starts only if it is over by the end, its own or that of the process: at its
+ * deadline, or after its longest time in a slot.  Queued calls that are not
+ * expected to are dropped at once as ADM_ENDING.
+ */
+void adm_end(struct adm *, gint64 end);
+
+/* Sets the end of one call; no effect unless it is queued. */
+void adm_end_job(struct adm *, struct adm_job *, gint64 end);
+
 /* Drops all queued calls, so that they can be sent to other upstreams. */
 void adm_drop_all(struct adm *, enum adm_verdict why);
 
@@ -294,7 +308,7 @@
 guint adm_running(const struct adm *);
 guint adm_queued(const struct adm *);
 
-/* ---- cost.c: moving average of a quantity by route ---- */
+/* ---- cost.c: moving average and spread of a quantity by route ---- */
 
 struct cost;
 struct cost *cost_new(void);
@@ -304,6 +318,10 @@
 void cost_set(struct cost *, const char *route, gint64 value);
 /* 0: not known. */
 gint64 cost_get(const struct cost *, const char *route);
+/* A value that few samples exceed; 0: not known. */
+gint64 cost_high(const struct cost *, const char *route);
+/* The highest such value of all routes. */
+gint64 cost_highest(const struct cost *);
 
 /* ---- retry.c: recognition of retried requests ---- */
 
--- a/core/call/cost.c
+++ b/core/call/cost.c
@@ -1,5 +1,9 @@
-/* Moving average by route, such as time in a slot or size of a response. */
+/*
+ * Moving average and mean deviation by route, such as those of the time in a
+ * slot or of the size of a response.
+ */
 #include <glib.h>
+#include <math.h>
 #include <sys/queue.h>
 #include <rpc/rpc.h>
 
@@ -12,8 +16,15 @@
 /* Most routes kept; all are removed and measured again if there are more. */
 #define COST_ROUTES_MAX 4096
 
+/*
+ * Mean deviations above the mean that few samples exceed.  As in the time-out
+ * of TCP: 2 to 3 % of samples with a long tail do.
+ */
+#define HIGH_DEVIATIONS 4
+
 struct entry {
 	double mean;
+	double deviation; /* mean absolute one */
 	guint n;
 };
 
@@ -64,9 +75,13 @@
 cost_add(struct cost *c, const char *route, gint64 sample)
 {
 	struct entry *e = entry_get(c, route);
+	double x = (double)sample;
 
 	e->n = MIN(e->n + 1, COST_DIV);
-	e->mean += ((double)sample - e->mean) / e->n;
+	/* One sample says nothing of the spread: half of it is assumed. */
+	e->deviation += e->n == 1 ? x / 2 - e->deviation
+				  : (fabs(x - e->mean) - e->deviation) / e->n;
+	e->mean += (x - e->mean) / e->n;
 }
 
 gint64
@@ -76,3 +91,30 @@
 
 	return e != NULL ? (gint64)e->mean : 0;
 }
+
+static gint64
+high(const struct entry *e)
+{
+	if (e == NULL || e->n == 0)
+		return 0;
+	return (gint64)(e->mean + HIGH_DEVIATIONS * e->deviation);
+}
+
+gint64
+cost_high(const struct cost *c, const char *route)
+{
+	return high(g_hash_table_lookup(c->routes, route));
+}
+
+gint64
+cost_highest(const struct cost *c)
+{
+	GHashTableIter it;
+	gint64 most = 0;
+	gpointer e;
+
+	g_hash_table_iter_init(&it, c->routes);
+	while (g_hash_table_iter_next(&it, NULL, &e))
+		most = MAX(most, high(e));
+	return most;
+}
--- a/core/rtab/rtab.c
+++ b/core/rtab/rtab.c
@@ -236,3 +236,29 @@
 	g_free(path);
 	return r;
 }
+
+static gboolean
+leads_to(const struct rtab_route *r, const char *service)
+{
+	guint i;
+
+	for (i = 0; i < r->n_parts; i++)
+		if (strcmp(r->parts[i].service, service) == 0)
+			return TRUE;
+	return FALSE;
+}
+
+gint64
+rtab_longest_timeout(const struct rtab *t, const char *service)
+{
+	const struct rtab_route *r;
+	gint64 longest = 0;
+	guint i;
+
+	for (i = 0; i < t->routes->len; i++) {
+		r = g_ptr_array_index(t->routes, i);
+		if (r->timeout > longest && leads_to(r, service))
+			longest = r->timeout;
+	}
+	return longest;
+}
--- a/core/rtab/rtab.h
+++ b/core/rtab/rtab.h
@@ -76,6 +76,9 @@
 const struct rtab_route *rtab_match(
     const struct rtab *, const char *host, const char *target);
 
+/* Longest time-out of the routes to a service; 0: there is none. */
+gint64 rtab_longest_timeout(const struct rtab *, const char *service);
+
 /*
  * Weighted round robin: picks the service of each request of a route, so that
  * short sequences of requests are divided by the weights too.  The state is
--- a/test/call_test.c
+++ b/test/call_test.c
@@ -1,5 +1,6 @@
 #include <glib.h>
 #include <check.h>
+#include <math.h>
 #include <sys/queue.h>
 #include <rpc/rpc.h>
 #include <stdlib.h>
@@ -831,6 +832,84 @@
 }
 END_TEST
 
+/*
+ * Guards against calls that start although the process that awaits them, or the
+ * node that runs them, ends before they do: one whose longest time fits starts,
+ * and so does one whose deadline comes first.
+ */
+START_TEST(calls_that_outlast_an_end_do_not_start)
+{
+	struct adm *a = adm_make(1, 8);
+	struct task running, t[5];
+	gint64 begin = now_us;
+	int i;
+
+	memset(&running, 0, sizeof(running));
+	adm_submit(a, &running.job, 0, G_MAXINT64);
+	memset(t, 0, sizeof(t));
+	for (i = 0; i < 5; i++) {
+		t[i].job.cost = 10 * MS;
+		t[i].job.longest = i == 2 ? 0 : 100 * MS;
+		ck_assert_int_eq(adm_submit(a, &t[i].job, 0,
+				     begin + (i == 1 ? 900 : 5000) * MS),
+		    ADM_QUEUED);
+	}
+	adm_end_job(a, &t[0].job, begin + 500 * MS);
+	ck_assert(!t[0].dropped);
+	adm_end(a, begin + 1000 * MS);
+	/* The longest time of this one is not known. */
+	ck_assert(t[2].dropped);
+	ck_assert_int_eq(t[2].why, ADM_ENDING);
+	now_us = begin + 399 * MS;
+	adm_tick(a);
+	ck_assert(!t[0].dropped);
+	now_us = begin + 400 * MS;
+	adm_tick(a);
+	ck_assert(t[0].dropped);
+	ck_assert_int_eq(t[0].why, ADM_ENDING);
+	ck_assert(!t[1].dropped && !t[3].dropped);
+	now_us = begin + 850 * MS;
+	adm_finish(a, &running.job);
+	ck_assert(t[1].started);
+	now_us = begin + 890 * MS;
+	adm_finish(a, &t[1].job);
+	ck_assert(t[3].started);
+	now_us = begin + 901 * MS;
+	adm_finish(a, &t[3].job);
+	ck_assert(t[4].dropped && !t[4].started);
+	ck_assert_int_eq(t[4].why, ADM_ENDING);
+	memset(&t[0], 0, sizeof(t[0]));
+	t[0].job.longest = 100 * MS;
+	ck_assert_int_eq(
+	    adm_submit(a, &t[0].job, 0, begin + 5000 * MS), ADM_ENDING);
+	adm_free(a);
+}
+END_TEST
+
+/* Guards against a longest time that many samples exceed, or that has none. */
+START_TEST(few_samples_exceed_the_high_value)
+{
+	struct cost *c = cost_new();
+	GRand *r = g_rand_new_with_seed(SEED);
+	int i, above = 0;
+	gint64 x;
+
+	ck_assert_int_eq(cost_high(c, "r"), 0);
+	cost_set(c, "r", 500);
+	ck_assert_int_eq(cost_high(c, "r"), 0);
+	for (i = 0; i < 20000; i++) {
+		x = (gint64)(-log(1 - g_rand_double(r)) * 1000);
+		above += i > 0 && x > cost_high(c, "r");
+		cost_add(c, "r", x);
+	}
+	ck_assert_int_le(above, 20000 * 4 / 100);
+	ck_assert_int_le(cost_high(c, "r"), 10000);
+	ck_assert_int_eq(cost_highest(c), cost_high(c, "r"));
+	g_rand_free(r);
+	cost_free(c);
+}
+END_TEST
+
 /* Guards against expected times that do not follow a change. */
 START_TEST(costs_follow_new_samples)
 {
@@ -1374,6 +1453,8 @@
 	tcase_add_test(t, targets_are_checked_again_at_the_start);
 	tcase_add_test(t, calls_are_dropped_at_their_latest_start);
 	tcase_add_test(t, unrepeatable_calls_need_their_full_time);
+	tcase_add_test(t, calls_that_outlast_an_end_do_not_start);
+	tcase_add_test(t, few_samples_exceed_the_high_value);
 	tcase_add_test(t, costs_follow_new_samples);
 	tcase_add_test(t, retries_are_recognised_by_time_and_connection);
 	suite_add_tcase(s, t);
--- a/test/proxy_test.c
+++ b/test/proxy_test.c
@@ -105,6 +105,15 @@
 	ck_assert_int_eq(q.remaining, 5000);
 	ck_assert_int_eq(q.priority, 3);
 	ck_assert(q.once && !q.caller_retry);
+	ck_assert_int_eq(q.end_remaining, -1);
+	peerhdr_request_clear(&q);
+	h1_head_unref(h);
+	s = g_string_new(NULL);
+	fwd->end = fwd->deadline - 2000;
+	peerhdr_request_put(s, fwd, "node-1", fwd->deadline - 5000);
+	h = head_of(s);
+	ck_assert(peerhdr_request_read(h, &q));
+	ck_assert_int_eq(q.end_remaining, 3000);
 	peerhdr_request_clear(&q);
 	h1_head_unref(h);
 	fwd_unref(fwd);
@@ -976,17 +985,27 @@
 START_TEST(drain_delay_leaves_time_to_finish)
 {
 	const gint64 ms = G_TIME_SPAN_MILLISECOND;
-	gint64 grace;
-
+	gint64 grace, run, delay;
+
+	for (grace = 100 * ms; grace <= 60000 * ms; grace += 100 * ms)
+		for (run = 0; run <= 8000 * ms; run += 500 * ms) {
+			delay = stop_drain_delay(grace, run);
+			ck_assert(
+			    delay == 0 ||
+			    delay + run + MIN(500 * ms, grace / 7) <= grace);
+		}
 	for (grace = 3500 * ms; grace <= 60000 * ms; grace += 100 * ms)
-		ck_assert_int_le(
-		    stop_drain_delay(grace) + 3500 * ms, MAX(grace, 3500 * ms));
-	ck_assert_int_eq(stop_drain_delay(1000 * ms), 0);
+		ck_assert_int_le(stop_drain_delay(grace, 3000 * ms) + 3500 * ms,
+		    MAX(grace, 3500 * ms));
+	ck_assert_int_eq(stop_drain_delay(1000 * ms, 3000 * ms), 0);
 	/*
 	 * With the usual grace time of 6 s, the backend server gets requests
 	 * for at least 2 s after the stop signal.
 	 */
-	ck_assert_int_ge(stop_drain_delay(6000 * ms), 2000 * ms);
+	ck_assert_int_ge(stop_drain_delay(6000 * ms, 3000 * ms), 2000 * ms);
+	/* The kill comes after the last sixth of the grace time began. */
+	for (grace = 100 * ms; grace <= 60000 * ms; grace += 100 * ms)
+		ck_assert_int_ge(stop_end(grace), grace * 5 / 6);
 }
 END_TEST
 
