--- a/cmd/ptproxy/stop.c
+++ b/cmd/ptproxy/stop.c
@@ -169,8 +169,11 @@
 	peers_recall(p->peers, stop_answers_until(p));
 	if (since >= NOTICE_US) {
 		ingress_refuse_late(p->ingress);
-		ingress_close_listener(p->ingress);
-		ingress_close_idle(p->ingress);
+		/* A request at work may still make calls through this node. */
+		if (backend_running(p->backend) == 0) {
+			ingress_close_listener(p->ingress);
+			ingress_close_idle(p->ingress);
+		}
 	}
 	if (PT_MUTANT(MUTANT_STOP_AT_ONCE))
 		since = grace;
--- a/test/stop_test.c
+++ b/test/stop_test.c
@@ -682,6 +682,44 @@
 }
 END_TEST
 
+/*
+ * Guards against a request that fails as its server, which calls others through
+ * the node beside it, is refused a connection there while the node stops.
+ */
+START_TEST(server_at_work_can_make_calls_while_its_node_stops)
+{
+	int i;
+
+	rnd = g_rand_new_with_seed(1);
+	timeout = 4 * SECOND;
+	begin(1, 6 * SECOND, RTAB_IDEMPOTENT);
+	for (i = 0; i < CALLERS; i++)
+		caller_draw(&caller[i], i, SECOND, G_MAXINT64, G_MAXINT64);
+	/* Some of these run beside the node until 3.5 s after the signal. */
+	for (i = 0; i < 2 * SLOTS - 1; i++) {
+		caller[i] = (struct caller){ .got = caller[i].got,
+			.start = SIGNAL + 500 * MS,
+			.whole = SIGNAL + 500 * MS,
+			.run = 3 * SECOND,
+			.size = 1 };
+		g_snprintf(caller[i].id, sizeof(caller[i].id), "%d", i);
+	}
+	/* The call of a server, on a new connection. */
+	caller[i].start = caller[i].whole = SIGNAL + 3 * SECOND;
+	caller[i].entry = 0;
+	caller[i].run = 50 * MS;
+	caller[i].asked = 600 * MS;
+	caller[i].size = 1;
+	caller[i].read = 0;
+	act_until(SIGNAL + 6 * SECOND);
+	ck_assert_msg(caller[i].status == 200, "status %d reason %s",
+	    caller[i].status, caller[i].log_reason);
+	for (i = 0; i < 2 * SLOTS - 1; i++)
+		ck_assert_int_eq(caller[i].status, 200);
+	end();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -689,6 +727,7 @@
 	TCase *t = tcase_create("answers");
 
 	tcase_add_loop_test(t, stopping_node_answers_every_request, 0, SEEDS);
+	tcase_add_test(t, server_at_work_can_make_calls_while_its_node_stops);
 	suite_add_tcase(suite, t);
 	return suite_run(suite);
 }
