--- a/cmd/ptnode/attempt.c
+++ b/cmd/ptnode/attempt.c
@@ -70,6 +70,20 @@
 		    NULL, NULL);
 }
 
+void
+attempt_recall(struct request *q)
+{
+	struct attempt *a = q->attempt;
+	struct node *n = q->entry->node;
+	struct pt_pull_args args = { PT_PROTO, a->id };
+
+	if (a->host == NULL)
+		upstream_recall(n->upstream, 0, a->id);
+	else
+		n->rpc.call(n->rpc.ctx, a->host, a->port, PT_RECALL, &args, 0,
+		    NULL, NULL);
+}
+
 void
 attempt_detach(struct request *q, enum lb_result r, gboolean cancel)
 {
--- a/cmd/ptnode/control.c
+++ b/cmd/ptnode/control.c
@@ -350,6 +350,9 @@
 	case PT_CANCEL:
 		upstream_handle_cancel(n->upstream, req, args);
 		break;
+	case PT_RECALL:
+		upstream_handle_recall(n->upstream, req, args);
+		break;
 	case PT_KEYED:
 		entry_handle_keyed(n->entry, req, args);
 		break;
--- a/cmd/ptnode/entry.c
+++ b/cmd/ptnode/entry.c
@@ -21,6 +21,8 @@
 
 #define KEYS_PATH "/.pt/keys"
 #define LIMIT_RETRY_MS 1000
+/* Retry-After of an ended node: Retry-After has whole seconds. */
+#define ENDED_RETRY_MS 1000
 
 const int entry_buckets_ms[ENTRY_BUCKETS] = { 1, 2, 5, 10, 20, 50, 100, 200,
 	500, 1000, 2000, 5000 };
@@ -106,7 +108,10 @@
 		attempt_detach(q, LB_EXPIRED, q->key_text == NULL);
 	}
 	request_refuse(q, 504, PT_CALL_OUTCOME_UNKNOWN,
-	    "outcome unknown: the deadline passed before an answer came", 0);
+	    q->entry->node->end_at == q->deadline
+		? "outcome unknown: this node ends before an answer came"
+		: "outcome unknown: the deadline passed before an answer came",
+	    0);
 }
 
 /*
@@ -188,6 +193,8 @@
 	q->call.rank_order = route->rank->order;
 	q->deadline =
 	    deadline_begin(q->started, route->timeout_ms, remaining_ms);
+	if (n->end_at != 0)
+		q->deadline = MIN(q->deadline, n->end_at);
 	if (route->idempotent || safe_method(q->call.method)) {
 		q->key_text = NULL;
 	} else if (q->key_text == NULL) {
@@ -296,6 +303,11 @@
 		handle_own_path(e, r, path);
 		return;
 	}
+	if (e->node->ended) {
+		refuse(
+		    e, r, 503, "this node ends; use another", ENDED_RETRY_MS);
+		return;
+	}
 	route = conf_route_match(e->node->conf, path);
 	if (route == NULL) {
 		no_route(e, r);
@@ -320,12 +332,12 @@
 {
 	struct pt_answer a = { .proto = PT_PROTO,
 		.status = PT_CALL_OUTCOME_UNKNOWN,
-		.reason = (char *)"the owner of the key has no such route; it "
-				  "may have run before the route was removed" };
+		.reason = (char *)"the owner of the key ends, or has no such "
+				  "route; it may have run before" };
 	const struct conf_route *route = NULL;
 	struct request *q;
 
-	if (e->node->ready)
+	if (e->node->ready && !e->node->ended)
 		route = conf_route_match(e->node->conf, args->call.path);
 	if (route == NULL) {
 		rpcio_reply(req, &a);
@@ -393,6 +405,57 @@
 	httpio_server_drain(e->server);
 }
 
+static struct request *
+next_to_recall(struct entry *e)
+{
+	struct request *q;
+
+	TAILQ_FOREACH(q, &e->requests, link)
+	if (!q->recalled && q->attempt != NULL && !q->headers_sent &&
+	    q->deadline == e->node->end_at)
+		return q;
+	return NULL;
+}
+
+/* A request whose answer has begun is cut off at the end of the node. */
+void
+entry_limit(struct entry *e)
+{
+	gint64 now = pt_now(&e->node->clock), end = e->node->end_at;
+	struct request *q, *next;
+
+	for (q = TAILQ_FIRST(&e->requests); q != NULL; q = next) {
+		next = TAILQ_NEXT(q, link);
+		if (q->headers_sent || q->deadline <= end)
+			continue;
+		q->deadline = end;
+		sys_cancel(&q->timer);
+		q->timer = sys_after(end - now, on_deadline, q);
+	}
+	/* Taking one back may end others. */
+	while ((q = next_to_recall(e)) != NULL) {
+		q->recalled = TRUE;
+		attempt_recall(q);
+	}
+}
+
+void
+entry_end(struct entry *e)
+{
+	struct request *q;
+
+	while ((q = TAILQ_FIRST(&e->requests)) != NULL) {
+		if (!q->headers_sent) {
+			sys_cancel(&q->timer);
+			on_deadline(q);
+			continue;
+		}
+		httpio_abort(g_steal_pointer(&q->req));
+		attempt_detach(q, LB_CANCELLED, TRUE);
+		request_finish(q, RESULT_FAILED);
+	}
+}
+
 guint
 entry_active(const struct entry *e)
 {
--- a/cmd/ptnode/entry.h
+++ b/cmd/ptnode/entry.h
@@ -74,6 +74,7 @@
 	guint timer; /* deadline, or stall of a caller that does not read */
 	gboolean counted; /* against the limit of the service */
 	gboolean headers_sent;
+	gboolean recalled; /* see entry_limit() */
 
 	struct pt_call call;
 	struct pt_header headers[PT_HEADERS_MAX];
@@ -112,6 +113,11 @@
 void attempt_start(struct request *);
 /* Fetches the next chunk of a streamed answer. */
 void attempt_pull(struct request *);
+/*
+ * Asks the upstream's node to refuse the call if it waits there.  The request
+ * may be freed when this returns.
+ */
+void attempt_recall(struct request *);
 /* Detaches the attempt from its request; "cancel": at the upstream as well. */
 void attempt_detach(struct request *, enum lb_result, gboolean cancel);
 /* Frees the attempt after the last chunk of its answer. */
--- a/cmd/ptnode/node.h
+++ b/cmd/ptnode/node.h
@@ -75,6 +75,8 @@
 	guint second_timer; /* runs each second */
 	guint stop_timer; /* next step of the graceful shutdown */
 	gint64 drain_at; /* start of the graceful shutdown, in us */
+	gint64 end_at; /* the last answers are sent then; 0: no limit */
+	gboolean ended; /* new requests are refused */
 	struct node_stats stats;
 };
 
@@ -95,6 +97,13 @@
 void entry_free(struct entry *);
 /* Answers with "Connection: close" from now on. */
 void entry_drain(struct entry *);
+/*
+ * The node has a time at which it ends: requests get their answers by then, and
+ * those that wait at upstreams are taken back.
+ */
+void entry_limit(struct entry *);
+/* Answers the requests that are left, and cuts off the answers. */
+void entry_end(struct entry *);
 guint entry_active(const struct entry *); /* requests in progress */
 guint entry_connections(const struct entry *); /* open connections */
 /* Handles PT_KEYED: a request with a key that this node issued. */
@@ -112,6 +121,8 @@
     struct upstream *, struct rpcio_req *, const struct pt_pull_args *);
 void upstream_handle_cancel(
     struct upstream *, struct rpcio_req *, const struct pt_pull_args *);
+void upstream_handle_recall(
+    struct upstream *, struct rpcio_req *, const struct pt_pull_args *);
 /*
  * The same for a call from this process, with connection 0.  Each callback is
  * called exactly once, possibly before the function returns.  If "copy"
@@ -124,6 +135,12 @@
 void upstream_pull(
     struct upstream *, guint64 conn, guint id, upstream_pull_cb, void *arg);
 void upstream_cancel(struct upstream *, guint64 conn, guint id);
+/* Refuses the call if it waits for a slot. */
+void upstream_recall(struct upstream *, guint64 conn, guint id);
+/* The node has a time at which it ends: refuses what may outlast it. */
+void upstream_limit(struct upstream *);
+/* Ends the calls that are left and refuses new ones. */
+void upstream_end(struct upstream *);
 /* Cancels the calls of a connection that closed. */
 void upstream_conn_closed(struct upstream *, guint64 conn);
 /* Applies a changed announcement, state or configuration. */
--- a/cmd/ptnode/settings.c
+++ b/cmd/ptnode/settings.c
@@ -161,6 +161,9 @@
 		{ "keep-alive", SYS_INT, &s->keep_alive_ms, 0, 600000, "5000",
 		    "time for which idle callers may reuse a connection, in "
 		    "ms" },
+		{ "stop-limit", SYS_INT, &s->stop_limit_ms, 0, 600000, "0",
+		    "time after which a stopping node is killed, in ms; what "
+		    "may take longer is refused; 0: waits for all requests" },
 		{ "key-table", SYS_INT, &s->key_table, 1024, 4194304, "65536",
 		    "idempotency keys kept, in entries" },
 		{ "admission", SYS_STRING, &admission, 0, 0, "rank",
--- a/cmd/ptnode/settings.h
+++ b/cmd/ptnode/settings.h
@@ -23,6 +23,7 @@
 	int announce_timeout_ms;
 	int drain_notice_ms;
 	int keep_alive_ms;
+	int stop_limit_ms; /* 0: none */
 	int key_table;
 	int admission; /* enum adm_mode */
 	int distribution; /* enum settings_distribution */
--- a/cmd/ptnode/upstream.c
+++ b/cmd/ptnode/upstream.c
@@ -213,6 +213,8 @@
 		return "the deadline passed before a slot was free";
 	case ADM_CANCELLED:
 		return "cancelled before it ran";
+	case ADM_ENDING:
+		return "this node may end before the request does";
 	default:
 		return "the upstream does not serve";
 	}
@@ -620,6 +622,32 @@
 		cancel(j);
 }
 
+void
+upstream_recall(struct upstream *u, guint64 conn, guint id)
+{
+	struct job *j = job_find(u, conn, id);
+
+	if (j != NULL && j->phase == PHASE_QUEUED)
+		cancel(j);
+}
+
+void
+upstream_limit(struct upstream *u)
+{
+	adm_end(u->adm, u->node->end_at);
+}
+
+void
+upstream_end(struct upstream *u)
+{
+	struct job *j;
+
+	adm_close(u->adm);
+	adm_drop_all(u->adm, ADM_NOT_SERVING);
+	while ((j = TAILQ_FIRST(&u->jobs)) != NULL)
+		cancel(j);
+}
+
 /* ---- calls over RPC ---- */
 
 static void
@@ -656,6 +684,14 @@
 	rpcio_reply(req, NULL);
 }
 
+void
+upstream_handle_recall(
+    struct upstream *u, struct rpcio_req *req, const struct pt_pull_args *a)
+{
+	upstream_recall(u, rpcio_req_conn(req), a->id);
+	rpcio_reply(req, NULL);
+}
+
 void
 upstream_conn_closed(struct upstream *u, guint64 conn)
 {
--- a/rpc/pt.h
+++ b/rpc/pt.h
@@ -562,6 +562,9 @@
 #define PT_TABLE 14
 extern  pt_table_res * pt_table_1(pt_table_args *, CLIENT *);
 extern  pt_table_res * pt_table_1_svc(pt_table_args *, struct svc_req *);
+#define PT_RECALL 15
+extern  void * pt_recall_1(pt_pull_args *, CLIENT *);
+extern  void * pt_recall_1_svc(pt_pull_args *, struct svc_req *);
 extern int pt_prog_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -610,6 +613,9 @@
 #define PT_TABLE 14
 extern  pt_table_res * pt_table_1();
 extern  pt_table_res * pt_table_1_svc();
+#define PT_RECALL 15
+extern  void * pt_recall_1();
+extern  void * pt_recall_1_svc();
 extern int pt_prog_1_freeresult ();
 #endif /* K&R C */
 
--- a/rpc/pt.x
+++ b/rpc/pt.x
@@ -436,5 +436,6 @@
 		pt_outcome PT_OUTCOME(pt_outcome_args) = 12;
 		void PT_ACKED(pt_sync_args) = 13;	/* reader to the first reader of the mesh */
 		pt_table_res PT_TABLE(pt_table_args) = 14;
+		void PT_RECALL(pt_pull_args) = 15;	/* refuse the call if it waits; no reply is sent */
 	} = 1;
 } = 0x20005054;
--- a/test/faults/main.c
+++ b/test/faults/main.c
@@ -75,6 +75,80 @@
 }
 END_TEST
 
+/* Limit of a shutdown, and requests that take longer. */
+#define STOP_LIMIT (3 * CLUSTER_S)
+#define LONG_RUN (4 * CLUSTER_S)
+#define LONG_CALLS 24
+
+/*
+ * Guards against requests that a node with a limited shutdown cuts off without
+ * an answer: they wait at it or at others, or run, for longer than the limit.
+ * One that waits is taken back, and runs elsewhere or is refused as not run.
+ */
+START_TEST(limited_shutdown_answers_every_request)
+{
+	struct cluster_call *c, *calls[LONG_CALLS];
+	struct cluster_node *cn = &cluster.nodes[0];
+	guint i, refused = 0;
+	gint64 begin;
+
+	cell_start(9);
+	for (i = 0; i < cluster.n; i++) {
+		cluster.nodes[i].b.service_us = LONG_RUN;
+		cluster.nodes[i].n.set.stop_limit_ms = STOP_LIMIT / CLUSTER_MS;
+	}
+	for (i = 0; i < LONG_CALLS; i++) {
+		calls[i] = cluster_call(0, "GET", "/index/1", NULL);
+		cluster_run(10 * CLUSTER_MS);
+	}
+	begin = cluster.now;
+	cluster_stop(0);
+	cluster_run(100 * CLUSTER_MS);
+	/* A caller that comes late, on a connection that it kept. */
+	c = cluster_call(0, "GET", "/index/1", NULL);
+	while (cn->up && cluster.now < begin + STOP_LIMIT)
+		cluster_run(10 * CLUSTER_MS);
+	ck_assert(!cn->up);
+	ck_assert_msg(!c->reset, "a late request was cut off");
+	for (i = 0; i < LONG_CALLS; i++) {
+		ck_assert_msg(calls[i]->done && !calls[i]->reset,
+		    "request %u was cut off", i);
+		ck_assert(calls[i]->status == 200 || calls[i]->status == 503 ||
+			  calls[i]->status == 504);
+		refused += calls[i]->status == 503;
+	}
+	ck_assert_uint_gt(refused, 0);
+	cluster_run(2 * LONG_RUN);
+	ck_assert_uint_eq(cluster.false_refusals, 0);
+	for (i = 0; i < LONG_CALLS; i++)
+		ck_assert_msg((calls[i]->status == 503) !=
+				  (gboolean)cluster_call_ran(calls[i]),
+		    "request %u: status %u", i, calls[i]->status);
+	g_string_free(cur_cell.violations, TRUE);
+	cluster_free();
+}
+END_TEST
+
+/*
+ * Guards against a request that is passed on, and cut off, while its node waits
+ * for its last messages to spread.
+ */
+START_TEST(node_that_leaves_refuses_requests)
+{
+	struct cluster_call *c;
+
+	cell_start(9);
+	cluster.nodes[0].n.ended = TRUE;
+	c = cluster_call(0, "GET", "/index/1", NULL);
+	cluster_run(100 * CLUSTER_MS);
+	ck_assert(c->done);
+	ck_assert_uint_eq(c->status, 503);
+	ck_assert_str_eq(c->outcome, "not-run");
+	g_string_free(cur_cell.violations, TRUE);
+	cluster_free();
+}
+END_TEST
+
 START_TEST(run_cell)
 {
 	const struct step *s = &steps[_i / (int)n_faults];
@@ -227,6 +301,8 @@
 	tcase_add_loop_test(t, run_mutant, 0, G_N_ELEMENTS(mutants));
 #else
 	tcase_add_test(t, request_that_ends_servers_is_not_sent_on);
+	tcase_add_test(t, limited_shutdown_answers_every_request);
+	tcase_add_test(t, node_that_leaves_refuses_requests);
 	tcase_add_loop_test(t, run_cell, 0, (int)(n_steps * n_faults));
 	tcase_add_loop_test(t, run_pair, 0, (int)n_pairs);
 #endif
