--- a/cmd/ptproxy/inbound.c
+++ b/cmd/ptproxy/inbound.c
@@ -367,7 +367,10 @@
 	struct inbound *s = c->inbound;
 	gint64 end = pt_now(&s->proxy->clock) + remaining;
 	GHashTable *ids = g_hash_table_new(g_str_hash, g_str_equal);
-	char *text = g_strndup((const char *)c->body->data, c->body->len);
+	/* An empty body may have no buffer. */
+	char *text = c->body->len > 0
+			 ? g_strndup((const char *)c->body->data, c->body->len)
+			 : g_strdup("");
 	char **list = g_strsplit(text, "\n", -1), **id;
 	struct inconn *x;
 	guint found = 0;
--- a/test/ingress_test.c
+++ b/test/ingress_test.c
@@ -666,6 +666,88 @@
 }
 END_TEST
 
+/* Message of a node with a body of this length, after a head. */
+static char *
+node_message(const char *field, const char *body)
+{
+	return g_strdup_printf("POST /s/ HTTP/1.1\r\nHost: h\r\n%s\r\n"
+			       "X-Primrosetide-Attempt-Id: a\r\n"
+			       "Content-Length: %u\r\n\r\n%s",
+	    field, (guint)strlen(body), body);
+}
+
+#define HOP                                                               \
+	"Pt-Hop: to=self;route=r;service=svc;caller=svc;left=9;target=9;" \
+	"priority=0;once=1;returned=0;repeat=0;end=9;"
+
+/*
+ * Guards against a message without a body that ends the process, the first on
+ * its connection: no buffer has been allocated for it.
+ */
+START_TEST(empty_bodies_of_nodes_are_answered)
+{
+	static const char *const fields[] = { "Pt-Recall: left=9;",
+		"Pt-Recall: left=-9;", "Pt-Recall: left=99999999999999999999;",
+		"Pt-Recall: ;", HOP };
+	GSocket *s;
+	char *text, *got;
+	guint i, k;
+
+	for (i = 0; i < G_N_ELEMENTS(fields); i++)
+		for (k = 0; k < 2; k++) {
+			s = loop_connect(HOST, port_of(1));
+			text = node_message(fields[i], k == 0 ? "" : "\n");
+			loop_send(s, text);
+			got = loop_expect(s, "\r\n\r\n");
+			ck_assert_ptr_nonnull(
+			    strstr(got, i < 3 ? " 200 " : " 503 "));
+			g_free(got);
+			g_free(text);
+			loop_close(s);
+		}
+	LOOP_IDLE();
+}
+END_TEST
+
+#define FUZZ_SEED 36
+#define FUZZ_ROUNDS 3000
+
+/* Guards against damaged messages of nodes and callers that end the process. */
+START_TEST(damaged_messages_do_not_end_the_process)
+{
+	static const char *const fields[] = { "Pt-Recall: left=9;", HOP,
+		"Pt-Server: id=i;start=1;leaving=0;limit=5;",
+		"Transfer-Encoding: chunked" };
+	static const char *const bodies[] = { "", "a\n\nb\n", "3\r\nabc" };
+	GRand *r = g_rand_new_with_seed(FUZZ_SEED);
+	GSocket *s;
+	char *text;
+	gint32 n;
+	int i, k;
+
+	for (i = 0; i < FUZZ_ROUNDS; i++) {
+		text = node_message(fields[g_rand_int_range(r, 0, 4)],
+		    bodies[g_rand_int_range(r, 0, 3)]);
+		n = (gint32)strlen(text);
+		for (k = g_rand_int_range(r, 0, 4); k > 0; k--)
+			text[g_rand_int_range(r, 0, n)] =
+			    (char)g_rand_int_range(r, 1, 256);
+		s = loop_connect(HOST, port_of(i % 2));
+		loop_send(s, text);
+		for (k = 0; k < 4; k++)
+			g_main_context_iteration(NULL, FALSE);
+		loop_close(s);
+		g_free(text);
+	}
+	LOOP_IDLE();
+	s = loop_connect(HOST, port_of(0));
+	loop_send(s, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+	g_free(loop_expect(s, "\r\n\r\n"));
+	loop_close(s);
+	g_rand_free(r);
+}
+END_TEST
+
 #define CALLERS 100
 
 /*
@@ -708,6 +790,8 @@
 	tcase_add_loop_test(t, bodies_are_bounded_together, 0, 2);
 	tcase_add_loop_test(t, endless_body_leaves_others_served, 0, 2);
 	tcase_add_test(t, slow_heads_time_out);
+	tcase_add_test(t, empty_bodies_of_nodes_are_answered);
+	tcase_add_test(t, damaged_messages_do_not_end_the_process);
 	tcase_add_test(t, requests_that_arrived_are_answered);
 	tcase_add_test(t, log_says_that_a_caller_left_only_if_it_did);
 	tcase_add_test(t, limits_of_a_new_version_hold_on_kept_connections);
