--- a/cmd/ptproxy/inbound.c
+++ b/cmd/ptproxy/inbound.c
@@ -580,6 +580,20 @@
 	g_free(s);
 }
 
+void
+inbound_end(struct inbound *s)
+{
+	struct inconn *c, *next;
+
+	for (c = LIST_FIRST(&s->conns); c != NULL; c = next) {
+		next = LIST_NEXT(c, entry);
+		if (!c->ended)
+			continue;
+		send_bytes(c, c->out->len);
+		inconn_done(c);
+	}
+}
+
 guint
 inbound_busy(const struct inbound *s)
 {
--- a/cmd/ptproxy/proxy.h
+++ b/cmd/ptproxy/proxy.h
@@ -294,6 +294,8 @@
 struct inbound *inbound_new(struct proxy *, GError **);
 void inbound_free(struct inbound *);
 guint inbound_busy(const struct inbound *);
+/* Sends the complete answers that wait for the link: this process ends. */
+void inbound_end(struct inbound *);
 /* The port that it listens on, if that of the settings is 0. */
 guint inbound_port(const struct inbound *);
 
--- a/cmd/ptproxy/stop.c
+++ b/cmd/ptproxy/stop.c
@@ -135,6 +135,7 @@
 	p->ended = TRUE;
 	backend_end(p->backend);
 	peers_end(p->peers);
+	inbound_end(p->inbound);
 	ingress_refuse_late(p->ingress);
 	ingress_close_listener(p->ingress);
 	ingress_close_idle(p->ingress);
--- a/test/ingress_test.c
+++ b/test/ingress_test.c
@@ -448,6 +448,67 @@
 }
 END_TEST
 
+/* Message of a node with a body of this length, after a head. */
+static char *
+node_message(const char *field, const char *body)
+{
+	return g_strdup_printf("POST /s/ HTTP/1.1\r\nHost: h\r\n%s\r\n"
+			       "X-Primrosetide-Attempt-Id: a\r\n"
+			       "Content-Length: %u\r\n\r\n%s",
+	    field, (guint)strlen(body), body);
+}
+
+/* Body of an answer, and a link that takes 100 s for it. */
+#define SLOW_BODY (100 * 1000)
+#define SLOW_LINK 1000
+
+/*
+ * Guards against a complete answer that is cut off when the process ends, as it
+ * waits for the instance's link.
+ */
+START_TEST(complete_answers_are_delivered_at_the_end)
+{
+	char *body = g_strnfill(SLOW_BODY, 'b'), buf[4096];
+	GSocket *s, *b = NULL;
+	gsize got = 0;
+	gssize n;
+	char *text;
+
+	inbound_free(p.inbound);
+	set.link_rate = SLOW_LINK;
+	p.inbound = inbound_new(&p, NULL);
+	s = loop_connect(HOST, port_of(1));
+	text = node_message("Pt-Hop: to=self;route=r;service=svc;caller=svc;"
+			    "left=20000000;target=20000000;priority=0;once=1;"
+			    "returned=0;repeat=0;",
+	    "");
+	loop_send(s, text);
+	g_free(text);
+	UNTIL((b = g_socket_accept(listener, NULL, NULL)) != NULL);
+	g_socket_set_blocking(b, FALSE);
+	g_free(loop_expect(b, "\r\n\r\n"));
+	text = g_strdup_printf(
+	    "HTTP/1.1 200 OK\r\nX-Primrosetide-Attempt-Id: a\r\n"
+	    "X-Primrosetide-Response-Signature: s\r\n"
+	    "Content-Length: %d\r\n\r\n%s",
+	    SLOW_BODY, body);
+	loop_send(b, text);
+	g_free(text);
+	UNTIL(backend_busy(p.backend) == 0);
+	inbound_end(p.inbound);
+	ck_assert_uint_eq(inbound_busy(p.inbound), 0);
+	while (got < SLOW_BODY) {
+		UNTIL((n = loop_recv(s, buf, sizeof(buf))) != -1);
+		ck_assert_int_gt(n, 0);
+		got += (gsize)n;
+	}
+	loop_close(s);
+	LOOP_IDLE();
+	loop_close(b);
+	g_free(body);
+}
+END_TEST
+
 /* ---- upstreams at other nodes ---- */
 
 static int silent; /* events that a node is silent */
@@ -666,16 +727,6 @@
 }
 END_TEST
 
-/* Message of a node with a body of this length, after a head. */
-static char *
-node_message(const char *field, const char *body)
-{
-	return g_strdup_printf("POST /s/ HTTP/1.1\r\nHost: h\r\n%s\r\n"
-			       "X-Primrosetide-Attempt-Id: a\r\n"
-			       "Content-Length: %u\r\n\r\n%s",
-	    field, (guint)strlen(body), body);
-}
-
 #define HOP                                                               \
 	"Pt-Hop: to=self;route=r;service=svc;caller=svc;left=9;target=9;" \
 	"priority=0;once=1;returned=0;repeat=0;end=9;"
@@ -802,6 +853,7 @@
 	tcase_add_test(t, request_that_ends_servers_is_not_sent_on);
 	tcase_add_test(t, stopping_node_waits_for_a_silent_upstream);
 	tcase_add_loop_test(t, refusal_after_a_lost_answer_may_have_run, 0, 3);
+	tcase_add_test(t, complete_answers_are_delivered_at_the_end);
 	suite_add_tcase(suite, t);
 	return suite_run(suite);
 }
