--- a/cmd/ptnode/entry.c
+++ b/cmd/ptnode/entry.c
@@ -410,10 +410,10 @@
 {
 	struct request *q;
 
-	TAILQ_FOREACH(q, &e->requests, link)
-	if (!q->recalled && q->attempt != NULL && !q->headers_sent &&
-	    q->deadline == e->node->end_at)
-		return q;
+	for (q = TAILQ_FIRST(&e->requests); q != NULL; q = TAILQ_NEXT(q, link))
+		if (!q->recalled && q->attempt != NULL && !q->headers_sent &&
+		    q->deadline == e->node->end_at)
+			return q;
 	return NULL;
 }
 
--- a/cmd/ptproxy/inbound.c
+++ b/cmd/ptproxy/inbound.c
@@ -378,10 +378,10 @@
 	for (id = list; *id != NULL; id++)
 		if (**id != '\0')
 			g_hash_table_add(ids, *id);
-	LIST_FOREACH(x, &s->conns, entry)
-	if (x->xchg != NULL && x->fwd->attempt_id != NULL &&
-	    g_hash_table_contains(ids, x->fwd->attempt_id))
-		found += backend_recall(x->xchg, end);
+	for (x = LIST_FIRST(&s->conns); x != NULL; x = LIST_NEXT(x, entry))
+		if (x->xchg != NULL && x->fwd->attempt_id != NULL &&
+		    g_hash_table_contains(ids, x->fwd->attempt_id))
+			found += backend_recall(x->xchg, end);
 	pt_event(&s->proxy->events, PT_LEVEL_INFO, "recalled",
 	    "requests=%u waiting=%u left_ms=%" G_GINT64_FORMAT,
 	    g_hash_table_size(ids), found, remaining / G_TIME_SPAN_MILLISECOND);
--- a/cmd/ptproxy/peer.c
+++ b/cmd/ptproxy/peer.c
@@ -325,8 +325,8 @@
 		return;
 	pt_event(&p->peers->proxy->events, PT_LEVEL_WARNING, "recall-failed",
 	    "host=%s text=\"%s\"", p->host, err->message);
-	LIST_FOREACH(e, &p->xchgs, entry)
-	e->recalled = e->fwd->end != 0;
+	for (e = LIST_FIRST(&p->xchgs); e != NULL; e = LIST_NEXT(e, entry))
+		e->recalled = e->fwd->end != 0;
 }
 
 /* Marks and returns the ids of the requests that may outlast "end". */
@@ -336,8 +336,7 @@
 	GPtrArray *ids = g_ptr_array_new();
 	struct peer_xchg *e;
 
-	LIST_FOREACH(e, &p->xchgs, entry)
-	{
+	for (e = LIST_FIRST(&p->xchgs); e != NULL; e = LIST_NEXT(e, entry)) {
 		if (e->recalled || e->answered || e->fwd->deadline <= end ||
 		    e->fwd->attempt_id == NULL)
 			continue;
--- a/test/paused/paused.c
+++ b/test/paused/paused.c
@@ -51,9 +51,9 @@
 {
 	struct timer *t;
 
-	TAILQ_FOREACH(t, &timers, entry)
-	if (t->id == *id)
-		break;
+	for (t = TAILQ_FIRST(&timers); t != NULL; t = TAILQ_NEXT(t, entry))
+		if (t->id == *id)
+			break;
 	if (t != NULL) {
 		TAILQ_REMOVE(&timers, t, entry);
 		g_free(t);
