--- a/cmd/ptproxy/backend.c
+++ b/cmd/ptproxy/backend.c
@@ -531,6 +531,24 @@
 	b->was_leaving = is_leaving(b);
 }
 
+/*
+ * Refuses the queued requests of another service than that of the server, which
+ * may have taken the place of theirs.
+ */
+static void
+drop_other_services(struct backend *b)
+{
+	const char *service = reg_service(b->proxy->reg);
+	struct run *r;
+
+	for (r = LIST_FIRST(&b->runs); r != NULL; r = LIST_NEXT(r, entry))
+		if (r->call == NULL && r->timer == 0 &&
+		    g_strcmp0(service, r->fwd->service) != 0) {
+			adm_cancel(b->adm, &r->job);
+			refuse_later(r, "other-service");
+		}
+}
+
 void
 backend_update(struct backend *b)
 {
@@ -552,6 +570,7 @@
 	adm_state(b->adm, open ? PT_SERVING : PT_LEFT);
 	if (!open)
 		adm_drop_all(b->adm, ADM_NOT_SERVING);
+	drop_other_services(b);
 	adm_end(b->adm, stop_answers_until(p));
 	adm_slots(b->adm, reg_slots(p->reg));
 	adm_limit(b->adm, reg_limit(p->reg));
--- a/test/ingress_test.c
+++ b/test/ingress_test.c
@@ -448,6 +448,46 @@
 }
 END_TEST
 
+/*
+ * Guards against a request that runs at another service: it waits for a slot
+ * while a server of that service takes the place of its own.
+ */
+START_TEST(waiting_request_does_not_run_at_another_service)
+{
+	struct reg_announce other = { .id = "i-9",
+		.service = "other",
+		.address = "",
+		.process_start = 9,
+		.slots = 2,
+		.state = REG_SERVING };
+	static const char text[] = "GET /s/ HTTP/1.1\r\nHost: h\r\n\r\n";
+	GSocket *s[2], *b = NULL;
+	char *got;
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		s[i] = loop_connect(HOST, port_of(0));
+		loop_send(s[i], text);
+	}
+	UNTIL((b = g_socket_accept(listener, NULL, NULL)) != NULL);
+	UNTIL(backend_busy(p.backend) == 2);
+	ck_assert_int_eq(reg_announce(p.reg, &other), REG_NEW);
+	backend_update(p.backend);
+	LOOP_IDLE();
+	ck_assert_ptr_null(g_socket_accept(listener, NULL, NULL));
+	UNTIL(g_socket_get_available_bytes(s[0]) > 0 ||
+	      g_socket_get_available_bytes(s[1]) > 0);
+	i = g_socket_get_available_bytes(s[1]) > 0;
+	got = loop_expect(s[i], "\r\n\r\n");
+	ck_assert_ptr_nonnull(strstr(got, " 503 "));
+	g_free(got);
+	for (i = 0; i < 2; i++)
+		loop_close(s[i]);
+	LOOP_IDLE();
+	loop_close(b);
+}
+END_TEST
+
 /* Message of a node with a body of this length, after a head. */
 static char *
 node_message(const char *field, const char *body)
@@ -854,6 +894,7 @@
 	tcase_add_test(t, stopping_node_waits_for_a_silent_upstream);
 	tcase_add_loop_test(t, refusal_after_a_lost_answer_may_have_run, 0, 3);
 	tcase_add_test(t, complete_answers_are_delivered_at_the_end);
+	tcase_add_test(t, waiting_request_does_not_run_at_another_service);
 	suite_add_tcase(suite, t);
 	return suite_run(suite);
 }
