--- a/cmd/ptnode/upstream.c
+++ b/cmd/ptnode/upstream.c
@@ -754,6 +754,34 @@
 	g_clear_error(&err);
 }
 
+static struct job *
+next_of_other_service(struct upstream *u)
+{
+	const char *service = u->node->backend.service;
+	struct job *j;
+
+	for (j = TAILQ_FIRST(&u->jobs); j != NULL; j = TAILQ_NEXT(j, link))
+		if (j->phase == PHASE_QUEUED &&
+		    g_strcmp0(service, j->call->service) != 0)
+			return j;
+	return NULL;
+}
+
+/*
+ * Refuses the queued calls of another service than that of the server, which
+ * may have taken the place of theirs.
+ */
+static void
+drop_other_services(struct upstream *u)
+{
+	struct job *j;
+
+	while ((j = next_of_other_service(u)) != NULL) {
+		adm_cancel(u->adm, &j->adm_job);
+		refuse(j, "the upstream does not serve this service");
+	}
+}
+
 void
 upstream_update(struct upstream *u)
 {
@@ -773,6 +801,7 @@
 		state = n->stopping || n->operator_drain ? PT_DRAINING
 							 : n->backend.state;
 	adm_state(u->adm, state);
+	drop_other_services(u);
 	adm_limit(u->adm, u->backend != NULL ? n->backend.limit : -1);
 	adm_slots(u->adm, u->backend != NULL ? n->backend.slots : 0);
 	sys_ticker_kick(u->ticker);
--- a/test/cluster/cluster.h
+++ b/test/cluster/cluster.h
@@ -40,6 +40,9 @@
 	/* A request whose path begins with it ends the server; NULL: none. */
 	const char *ends_at;
 	guint ends; /* times that the server has ended */
+	/* Prefix of the paths of its service; NULL: not checked. */
+	const char *paths;
+	guint foreign; /* requests that it got with other paths */
 	gint64 service_us;
 	gsize response_len;
 	guint slots;
--- a/test/cluster/http.c
+++ b/test/cluster/http.c
@@ -599,6 +599,8 @@
 	f->body = g_string_new(NULL);
 	f->deadly =
 	    f->b->ends_at != NULL && g_str_has_prefix(c->path, f->b->ends_at);
+	if (f->b->paths != NULL && !g_str_has_prefix(c->path, f->b->paths))
+		f->b->foreign++;
 	for (i = 0; i < c->n_headers; i++) {
 		if (strcmp(c->headers[i].name, "Idempotency-Key") == 0)
 			f->key = g_strdup(c->headers[i].value);
--- a/test/faults/main.c
+++ b/test/faults/main.c
@@ -149,6 +149,40 @@
 }
 END_TEST
 
+/*
+ * Guards against a request that runs at another service: it waits for a slot
+ * while a server of that service takes the place of its own.
+ */
+START_TEST(waiting_request_does_not_run_at_another_service)
+{
+	struct cluster_node *cn;
+	guint i, waiting = 0;
+
+	cell_start(9);
+	for (i = 0; i < cluster.n; i++) {
+		cluster.nodes[i].b.service_us = CLUSTER_S;
+		cluster.nodes[i].b.slots = 1;
+	}
+	cluster_run(2 * CLUSTER_S);
+	for (i = 0; i < LONG_CALLS; i++)
+		cluster_call(0, "GET", "/index/1", NULL);
+	cluster_run(100 * CLUSTER_MS);
+	for (i = 0; i < CALLER_NODES; i++) {
+		cn = &cluster.nodes[i];
+		waiting += upstream_active(cn->n.upstream);
+		g_free(cn->service);
+		cn->service = g_strdup("bookings");
+		cn->b.paths = "/bookings";
+	}
+	ck_assert_uint_gt(waiting, CALLER_NODES);
+	cluster_run(6 * CLUSTER_S);
+	for (i = 0; i < CALLER_NODES; i++)
+		ck_assert_uint_eq(cluster.nodes[i].b.foreign, 0);
+	g_string_free(cur_cell.violations, TRUE);
+	cluster_free();
+}
+END_TEST
+
 START_TEST(run_cell)
 {
 	const struct step *s = &steps[_i / (int)n_faults];
@@ -303,6 +337,7 @@
 	tcase_add_test(t, request_that_ends_servers_is_not_sent_on);
 	tcase_add_test(t, limited_shutdown_answers_every_request);
 	tcase_add_test(t, node_that_leaves_refuses_requests);
+	tcase_add_test(t, waiting_request_does_not_run_at_another_service);
 	tcase_add_loop_test(t, run_cell, 0, (int)(n_steps * n_faults));
 	tcase_add_loop_test(t, run_pair, 0, (int)n_pairs);
 #endif
