--- a/test/ingress_test.c
+++ b/test/ingress_test.c
@@ -767,9 +767,9 @@
 }
 END_TEST
 
-#define HOP                                                               \
-	"Pt-Hop: to=self;route=r;service=svc;caller=svc;left=9;target=9;" \
-	"priority=0;once=1;returned=0;repeat=0;end=9;"
+static const char hop[] =
+    "Pt-Hop: to=self;route=r;service=svc;caller=svc;left=9;target=9;"
+    "priority=0;once=1;returned=0;repeat=0;end=9;";
 
 /*
  * Guards against a message without a body that ends the process, the first on
@@ -779,7 +779,7 @@
 {
 	static const char *const fields[] = { "Pt-Recall: left=9;",
 		"Pt-Recall: left=-9;", "Pt-Recall: left=99999999999999999999;",
-		"Pt-Recall: ;", HOP };
+		"Pt-Recall: ;", hop };
 	GSocket *s;
 	char *text, *got;
 	guint i, k;
@@ -806,7 +806,7 @@
 /* Guards against damaged messages of nodes and callers that end the process. */
 START_TEST(damaged_messages_do_not_end_the_process)
 {
-	static const char *const fields[] = { "Pt-Recall: left=9;", HOP,
+	static const char *const fields[] = { "Pt-Recall: left=9;", hop,
 		"Pt-Server: id=i;start=1;leaving=0;limit=5;",
 		"Transfer-Encoding: chunked" };
 	static const char *const bodies[] = { "", "a\n\nb\n", "3\r\nabc" };
