--- a/cmd/ptproxy/control.c
+++ b/cmd/ptproxy/control.c
@@ -37,6 +37,18 @@
 	res->body = g_strdup(plat_ack_body());
 }
 
+/* FALSE: the service is neither in the settings nor in the configuration. */
+static gboolean
+check_service(const struct proxy *p, const char *service, GError **err)
+{
+	if (p->rtab == NULL || strcmp(service, p->set->service) == 0 ||
+	    rtab_service(p->rtab, service) != NULL)
+		return TRUE;
+	g_set_error_literal(err, PT_ERROR, PT_ERROR_REFERENCE,
+	    "the service is not in the configuration; announce one of it");
+	return FALSE;
+}
+
 static void
 announce(struct proxy *p, const char *id, const GByteArray *body,
     struct httpd_response *res)
@@ -47,6 +59,9 @@
 	enum reg_verdict v;
 
 	pa = plat_announce_read(id, (const char *)body->data, body->len, &err);
+	if (pa != NULL &&
+	    !check_service(p, plat_announce_get(pa)->service, &err))
+		g_clear_pointer(&pa, plat_announce_free);
 	if (pa == NULL) {
 		refuse(p, res, id, err);
 		g_error_free(err);
--- a/test/ingress_test.c
+++ b/test/ingress_test.c
@@ -313,6 +313,8 @@
 	p.rand = mo.rand = g_rand_new_with_seed(1);
 	p.memb = memb_new(&mo);
 	p.memb_ticker = sys_ticker_new(no_tick, NULL);
+	p.dirty_services =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	p.lb = lb_new(&(struct lb_opts){ .clock = sys_clock,
 	    .rand = p.rand,
 	    .domain = "z",
@@ -339,6 +341,8 @@
 	lb_free(p.lb);
 	sys_ticker_free(p.memb_ticker);
 	memb_free(p.memb);
+	sys_cancel(&p.rebuild_timer);
+	g_hash_table_unref(p.dirty_services);
 	g_rand_free(p.rand);
 }
 
@@ -448,6 +452,50 @@
 }
 END_TEST
 
+/* Status of an announcement; "service" is its service. */
+static int
+announce(const char *id, const char *service, gint64 start)
+{
+	char *text = g_strdup_printf(
+	    "{\"service\":\"%s\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\","
+	    "\"version\":\"v1\",\"slots\":1,\"state\":\"in_service\","
+	    "\"coldLeftS\":0,\"sequence\":1,\"born\":%" G_GINT64_FORMAT "}",
+	    service, start);
+	char *target = g_strdup_printf("/-/instances/%s", id);
+	struct h1_head h = { .method = (char *)(guintptr) "PUT",
+		.target = target };
+	GByteArray *body = g_byte_array_new();
+	struct httpd_response res = { .status = 404 };
+
+	g_byte_array_append(body, (const guint8 *)text, (guint)strlen(text));
+	control_handle(&p, &h, body, &res);
+	g_byte_array_unref(body);
+	g_free(res.body);
+	g_free(target);
+	g_free(text);
+	return res.status;
+}
+
+/*
+ * Guards against a server that gets no more requests, as an announcement of
+ * another writer, with a service that no configuration names and a later start,
+ * has taken its place and made its own announcements stale.
+ */
+START_TEST(announcement_of_an_unknown_service_is_refused)
+{
+	reg_settings(p.reg, "127.0.0.1:9", "svc");
+	ck_assert_int_eq(announce("i-1", "svc", 1000), 200);
+	ck_assert_str_eq(reg_id(p.reg), "i-1");
+	ck_assert_int_eq(announce("i-2", "ghost", 2000), 400);
+	ck_assert_str_eq(reg_id(p.reg), "i-1");
+	ck_assert(reg_serving(p.reg));
+	/* Before the node has a configuration, any service may be right. */
+	g_clear_pointer(&p.rtab, rtab_unref);
+	ck_assert_int_eq(announce("i-3", "new", 3000), 200);
+	ck_assert_str_eq(reg_id(p.reg), "i-3");
+}
+END_TEST
+
 /*
  * Guards against a request that runs at another service: it waits for a slot
  * while a server of that service takes the place of its own.
@@ -895,6 +943,7 @@
 	tcase_add_loop_test(t, refusal_after_a_lost_answer_may_have_run, 0, 3);
 	tcase_add_test(t, complete_answers_are_delivered_at_the_end);
 	tcase_add_test(t, waiting_request_does_not_run_at_another_service);
+	tcase_add_test(t, announcement_of_an_unknown_service_is_refused);
 	suite_add_tcase(suite, t);
 	return suite_run(suite);
 }
