--- a/cmd/ptnode/attempt.c
+++ b/cmd/ptnode/attempt.c
@@ -56,32 +56,31 @@
 	g_free(a);
 }
 
-/* Cancels the call at the upstream's node. */
+/* Calls "local" for this upstream, or "proc" at the upstream's node. */
 static void
-cancel_call(struct attempt *a)
+tell_upstream(struct attempt *a, guint proc,
+    void (*local)(struct upstream *, guint64 conn, guint id))
 {
 	struct node *n = a->entry->node;
 	struct pt_pull_args args = { PT_PROTO, a->id };
 
 	if (a->host == NULL)
-		upstream_cancel(n->upstream, 0, a->id);
+		local(n->upstream, 0, a->id);
 	else
-		n->rpc.call(n->rpc.ctx, a->host, a->port, PT_CANCEL, &args, 0,
-		    NULL, NULL);
+		n->rpc.call(
+		    n->rpc.ctx, a->host, a->port, proc, &args, 0, NULL, NULL);
+}
+
+static void
+cancel_call(struct attempt *a)
+{
+	tell_upstream(a, PT_CANCEL, upstream_cancel);
 }
 
 void
 attempt_recall(struct request *q)
 {
-	struct attempt *a = q->attempt;
-	struct node *n = q->entry->node;
-	struct pt_pull_args args = { PT_PROTO, a->id };
-
-	if (a->host == NULL)
-		upstream_recall(n->upstream, 0, a->id);
-	else
-		n->rpc.call(n->rpc.ctx, a->host, a->port, PT_RECALL, &args, 0,
-		    NULL, NULL);
+	tell_upstream(q->attempt, PT_RECALL, upstream_recall);
 }
 
 void
--- a/cmd/ptnode/stop.c
+++ b/cmd/ptnode/stop.c
@@ -98,7 +98,7 @@
 
 /* What may outlast the process is taken back while it can run elsewhere. */
 static void
-limit(struct node *n)
+set_end(struct node *n)
 {
 	n->end_at = n->drain_at + MAX((gint64)n->set.stop_limit_ms * 1000 -
 					  LEAVE_SPREAD_US - STOP_MARGIN_US,
@@ -123,6 +123,6 @@
 	backend_publish_state(n);
 	entry_drain(n->entry);
 	if (n->set.stop_limit_ms > 0)
-		limit(n);
+		set_end(n);
 	n->stop_timer = sys_after(notice, stop_accepting, n);
 }
--- a/cmd/ptproxy/inbound.c
+++ b/cmd/ptproxy/inbound.c
@@ -360,7 +360,7 @@
 	return fwd;
 }
 
-/* The requests that another node names are not to outlast its end. */
+/* Another node ends: what it names is refused unless it is over by then. */
 static void
 recall(struct inconn *c, gint64 remaining)
 {
--- a/cmd/ptproxy/stop.c
+++ b/cmd/ptproxy/stop.c
@@ -21,11 +21,14 @@
  */
 #define NOTICE_US (2500 * G_TIME_SPAN_MILLISECOND)
 /*
- * The process ends this long before the platform kills it, but not before this
- * share of the grace time is left: on a node limited to a tenth of a CPU core,
- * the last steps may take 400 ms.
+ * The process ends this long before the platform kills it: on a node limited to
+ * a tenth of a CPU core, the last steps may take 400 ms.
  */
 #define KILL_MARGIN_US (800 * G_TIME_SPAN_MILLISECOND)
+/*
+ * It is at most this part of the grace time: users bear requests that are cut
+ * off in the last sixth of it.
+ */
 #define KILL_MARGIN_DIV 7
 /* Time for an answer of another node to arrive and to be sent on. */
 #define ANSWER_US (200 * G_TIME_SPAN_MILLISECOND)
