--- a/test/stop_test.c
+++ b/test/stop_test.c
@@ -34,6 +34,8 @@
 /* Times of the first requests and of the stop signal. */
 #define BEGIN (1000 * SECOND)
 #define SIGNAL (BEGIN + 3 * SECOND)
+/* Time of requests that are not sent. */
+#define NEVER (BEGIN + G_TIME_SPAN_DAY)
 /* Longest run of a server. */
 #define RUN_MAX (12 * SECOND)
 /*
@@ -694,7 +696,7 @@
 	timeout = 4 * SECOND;
 	begin(1, 6 * SECOND, RTAB_IDEMPOTENT);
 	for (i = 0; i < CALLERS; i++)
-		caller_draw(&caller[i], i, SECOND, G_MAXINT64, G_MAXINT64);
+		caller_draw(&caller[i], i, SECOND, NEVER, NEVER);
 	/* Some of these run beside the node until 3.5 s after the signal. */
 	for (i = 0; i < 2 * SLOTS - 1; i++) {
 		caller[i] = (struct caller){ .got = caller[i].got,
