review: CONFIG broken while the readers of the store are dark

Cause: a node that does not read the store learns of versions from the two readers of its failure domain, and takes their place only after its own probes have found them silent.

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,8 @@
+#!/bin/bash
+# Builds the stand-ins that the scripts of the second review start, into
+# target/.  The nodes are built by the command of deploy/system.toml.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+"${CC:-cc}" -std=gnu11 -D_GNU_SOURCE -O2 -Wall -Wextra -pthread \
+    -o target/review/rig2 review/rig2.c
--- /dev/null
+++ b/review/rig2.c
@@ -0,0 +1,1021 @@
+/*
+ * Stand-ins for the scripts of the second review: the platform's store, backend
+ * servers and callers, each in a thread of this process.  The nodes are started
+ * as separate processes.  Each node has its own loopback address; the ports are
+ * the same on all of them.  Usage: rig2 CASE PTPROXY RECORD.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <time.h>
+#include <unistd.h>
+
+#define NODES_MAX 12
+#define OUTBOUND 8601
+#define INBOUND 8602
+#define READY 8603
+#define CONTROL 8604
+#define APP 8605
+#define STORE 8607
+#define PORT_FIRST 8610
+#define PORT_LAST 8625
+#define STORE_HOST 250
+#define SLOTS 12
+#define RECORDS_MAX 256
+#define HEAD_MAX 16384
+#define BODY_MAX 262144
+
+/* Exit codes of a case. */
+enum { HELD = 0, BROKEN = 1, NOT_RUN = 2 };
+
+struct server {
+	int i;
+	char id[64];
+	const char *service;
+	long long born;
+	long sequence;
+	int work_ms;
+	atomic_int draining, health, beats; /* "beats": it announces itself */
+	atomic_int running;
+};
+
+struct record {
+	char key[64];
+	char *value;
+	size_t len;
+};
+
+static struct {
+	int n, net_a, net_b, trouble;
+	const char *program;
+	char dir[128];
+	pid_t pid[NODES_MAX];
+	struct server server[NODES_MAX];
+	FILE *record;
+	long long start_ms;
+	pthread_mutex_t lock;
+} rig;
+
+/* ---- time and record ---- */
+
+static long long
+now_ms(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_MONOTONIC, &t);
+	return t.tv_sec * 1000LL + t.tv_nsec / 1000000;
+}
+
+static long long
+wall_ms(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_REALTIME, &t);
+	return t.tv_sec * 1000LL + t.tv_nsec / 1000000;
+}
+
+static long long
+at(void)
+{
+	return now_ms() - rig.start_ms;
+}
+
+static void
+sleep_ms(long long ms)
+{
+	struct timespec t = { ms / 1000, ms % 1000 * 1000000 };
+
+	if (ms > 0)
+		nanosleep(&t, NULL);
+}
+
+static void
+sleep_until(long long t)
+{
+	sleep_ms(t - at());
+}
+
+static void
+note(const char *fmt, ...)
+{
+	va_list ap;
+
+	pthread_mutex_lock(&rig.lock);
+	fprintf(rig.record, "%8.3f ", (double)at() / 1000);
+	va_start(ap, fmt);
+	vfprintf(rig.record, fmt, ap);
+	va_end(ap);
+	fputc('\n', rig.record);
+	fflush(rig.record);
+	pthread_mutex_unlock(&rig.lock);
+}
+
+static void
+host_of(int i, char out[32])
+{
+	snprintf(out, 32, "127.%d.%d.%d", rig.net_a, rig.net_b, i + 1);
+}
+
+static void
+spawn(void *(*f)(void *), void *arg)
+{
+	pthread_t t;
+	pthread_attr_t a;
+
+	pthread_attr_init(&a);
+	pthread_attr_setstacksize(&a, 512 * 1024);
+	pthread_attr_setdetachstate(&a, PTHREAD_CREATE_DETACHED);
+	if (pthread_create(&t, &a, f, arg) != 0) {
+		fprintf(stderr, "rig2: cannot create a thread\n");
+		exit(NOT_RUN);
+	}
+	pthread_attr_destroy(&a);
+}
+
+/* ---- sockets ---- */
+
+static struct sockaddr_in
+address(int host, int port)
+{
+	struct sockaddr_in a = { .sin_family = AF_INET,
+		.sin_port = htons((unsigned short)port) };
+	char text[32];
+
+	host_of(host, text);
+	inet_pton(AF_INET, text, &a.sin_addr);
+	return a;
+}
+
+static int
+listen_at(int host, int port)
+{
+	struct sockaddr_in a = address(host, port);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), one = 1;
+
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (struct sockaddr *)&a, sizeof(a)) != 0 ||
+	    listen(fd, 256) != 0) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+static int
+connect_to(int host, int port)
+{
+	struct sockaddr_in a = address(host, port);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), one = 1;
+
+	if (connect(fd, (struct sockaddr *)&a, sizeof(a)) != 0) {
+		close(fd);
+		return -1;
+	}
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+	return fd;
+}
+
+static int
+send_all(int fd, const void *p, size_t n)
+{
+	const char *s = p;
+	ssize_t k;
+
+	while (n > 0) {
+		k = send(fd, s, n, MSG_NOSIGNAL);
+		if (k <= 0)
+			return -1;
+		s += k;
+		n -= (size_t)k;
+	}
+	return 0;
+}
+
+/* ---- messages ---- */
+
+struct message {
+	char head[HEAD_MAX];
+	char *body;
+	size_t len;
+};
+
+/* Bytes that were read after a message. */
+struct input {
+	int fd;
+	size_t n;
+	char buf[HEAD_MAX];
+};
+
+static int
+fill(struct input *in, long long until)
+{
+	struct pollfd p = { in->fd, POLLIN, 0 };
+	long long left = until - now_ms();
+	ssize_t k;
+
+	if (in->n == sizeof(in->buf) || left <= 0 ||
+	    poll(&p, 1, (int)left) <= 0)
+		return -1;
+	k = recv(in->fd, in->buf + in->n, sizeof(in->buf) - in->n, 0);
+	if (k <= 0)
+		return -1;
+	in->n += (size_t)k;
+	return 0;
+}
+
+static void
+consume(struct input *in, size_t n)
+{
+	memmove(in->buf, in->buf + n, in->n - n);
+	in->n -= n;
+}
+
+/* Value of a field; "" if it is absent. */
+static void
+field(const char *head, const char *name, char *out, size_t size)
+{
+	const char *p = strchr(head, '\n');
+	size_t n = strlen(name), len;
+
+	*out = '\0';
+	for (; p != NULL; p = strchr(p, '\n')) {
+		p++;
+		if (strncasecmp(p, name, n) != 0 || p[n] != ':')
+			continue;
+		p += n + 1;
+		p += strspn(p, " \t");
+		len = strcspn(p, "\r\n");
+		if (len >= size)
+			len = size - 1;
+		memcpy(out, p, len);
+		out[len] = '\0';
+		return;
+	}
+}
+
+static int
+take(struct input *in, struct message *m, size_t n, long long until)
+{
+	size_t k;
+
+	while (n > 0) {
+		while (in->n == 0)
+			if (fill(in, until) != 0)
+				return -1;
+		k = in->n < n ? in->n : n;
+		if (m->len + k > BODY_MAX)
+			return -1;
+		memcpy(m->body + m->len, in->buf, k);
+		m->len += k;
+		consume(in, k);
+		n -= k;
+	}
+	return 0;
+}
+
+static int
+take_chunks(struct input *in, struct message *m, long long until)
+{
+	char *end;
+	size_t n, line;
+
+	for (;;) {
+		while ((end = memmem(in->buf, in->n, "\r\n", 2)) == NULL)
+			if (fill(in, until) != 0)
+				return -1;
+		line = (size_t)(end - in->buf) + 2;
+		n = strtoul(in->buf, NULL, 16);
+		consume(in, line);
+		if (take(in, m, n, until) != 0)
+			return -1;
+		while (in->n < 2)
+			if (fill(in, until) != 0)
+				return -1;
+		consume(in, 2);
+		if (n == 0)
+			return 0;
+	}
+}
+
+/* 0: a whole message was read. */
+static int
+read_message(struct input *in, struct message *m, long long until)
+{
+	char v[64], *end;
+	size_t n;
+
+	m->len = 0;
+	while ((end = memmem(in->buf, in->n, "\r\n\r\n", 4)) == NULL)
+		if (fill(in, until) != 0)
+			return -1;
+	n = (size_t)(end - in->buf) + 4;
+	memcpy(m->head, in->buf, n);
+	m->head[n - 2] = '\0';
+	consume(in, n);
+	field(m->head, "Transfer-Encoding", v, sizeof(v));
+	if (*v != '\0')
+		return take_chunks(in, m, until);
+	field(m->head, "Content-Length", v, sizeof(v));
+	return take(in, m, strtoul(v, NULL, 10), until);
+}
+
+static struct message *
+message_new(void)
+{
+	struct message *m = calloc(1, sizeof(*m));
+
+	m->body = malloc(BODY_MAX);
+	return m;
+}
+
+static void
+message_free(struct message *m)
+{
+	free(m->body);
+	free(m);
+}
+
+/* ---- the platform's store: a log of keyed records ---- */
+
+static struct {
+	struct record records[RECORDS_MAX]; /* of keyed.op */
+	int n;
+	struct record nodes[RECORDS_MAX]; /* of keyed.nodes */
+	int n_nodes;
+	atomic_int polls[NODES_MAX]; /* long polls in progress, by node */
+	pthread_mutex_t lock;
+	pthread_cond_t changed;
+} store;
+
+static void
+store_add(struct record *list, int *n, const char *key, const void *v, size_t len)
+{
+	pthread_mutex_lock(&store.lock);
+	if (*n < RECORDS_MAX) {
+		snprintf(list[*n].key, sizeof(list[*n].key), "%s", key);
+		list[*n].value = malloc(len + 1);
+		memcpy(list[*n].value, v, len);
+		list[*n].len = len;
+		(*n)++;
+	}
+	pthread_cond_broadcast(&store.changed);
+	pthread_mutex_unlock(&store.lock);
+}
+
+static size_t
+put_be(char *out, unsigned long long v, int n)
+{
+	int i;
+
+	for (i = 0; i < n; i++)
+		out[i] = (char)(v >> 8 * (n - 1 - i));
+	return (size_t)n;
+}
+
+static void
+respond(int fd, int status, const char *fields, const void *body, size_t n)
+{
+	char head[1024];
+	int k = snprintf(head, sizeof(head),
+	    "HTTP/1.1 %d X\r\n%sContent-Length: %zu\r\n\r\n", status, fields, n);
+
+	if (send_all(fd, head, (size_t)k) == 0)
+		send_all(fd, body, n);
+}
+
+static void
+store_read(int fd, int node, const char *head, struct record *list, int *n)
+{
+	const char *p = strstr(head, "from="), *w = strstr(head, "waitMs=");
+	long from = p != NULL ? strtol(p + 5, NULL, 10) : 0;
+	long wait = w != NULL ? strtol(w + 7, NULL, 10) : 0;
+	struct timespec t;
+	char *out = malloc(BODY_MAX);
+	size_t len = 0, k;
+	int i;
+
+	clock_gettime(CLOCK_REALTIME, &t);
+	t.tv_sec += wait / 1000;
+	t.tv_nsec += wait % 1000 * 1000000;
+	if (t.tv_nsec >= 1000000000) {
+		t.tv_sec++;
+		t.tv_nsec -= 1000000000;
+	}
+	pthread_mutex_lock(&store.lock);
+	if (wait > 0)
+		store.polls[node]++;
+	while (*n <= from && wait > 0 &&
+	       pthread_cond_timedwait(&store.changed, &store.lock, &t) == 0)
+		;
+	if (wait > 0)
+		store.polls[node]--;
+	len += put_be(out, (unsigned long long)*n, 8);
+	len += put_be(out + len, 0, 8);
+	for (i = (int)from; i < *n; i++) {
+		k = strlen(list[i].key);
+		len += put_be(out + len, 1 + k + list[i].len, 4);
+		len += put_be(out + len, k, 1);
+		memcpy(out + len, list[i].key, k);
+		memcpy(out + len + k, list[i].value, list[i].len);
+		len += k + list[i].len;
+	}
+	pthread_mutex_unlock(&store.lock);
+	respond(fd, 200, "", out, len);
+	free(out);
+}
+
+static size_t
+base64(const char *p, size_t n, char *out)
+{
+	static const char digits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+				     "abcdefghijklmnopqrstuvwxyz0123456789+/";
+	size_t i, k = 0;
+	unsigned v;
+
+	for (i = 0; i < n; i += 3) {
+		v = (unsigned)(unsigned char)p[i] << 16;
+		v |= i + 1 < n ? (unsigned)(unsigned char)p[i + 1] << 8 : 0;
+		v |= i + 2 < n ? (unsigned)(unsigned char)p[i + 2] : 0;
+		out[k++] = digits[v >> 18];
+		out[k++] = digits[v >> 12 & 63];
+		out[k++] = i + 1 < n ? digits[v >> 6 & 63] : '=';
+		out[k++] = i + 2 < n ? digits[v & 63] : '=';
+	}
+	return k;
+}
+
+static void
+store_newest(int fd, struct record *list, const int *n)
+{
+	char *out = malloc(BODY_MAX);
+	size_t len;
+	int i, j, some = 0;
+
+	len = (size_t)sprintf(out, "{\"items\":[");
+	pthread_mutex_lock(&store.lock);
+	for (i = 0; i < *n; i++) {
+		for (j = i + 1; j < *n && strcmp(list[j].key, list[i].key) != 0;
+		     j++)
+			;
+		if (j < *n || list[i].len == 0)
+			continue;
+		len += (size_t)sprintf(out + len, "%s{\"key\":\"%s\",\"value\":\"",
+		    some++ ? "," : "", list[i].key);
+		len += base64(list[i].value, list[i].len, out + len);
+		len += (size_t)sprintf(out + len, "\",\"offset\":%d}", i);
+	}
+	len += (size_t)sprintf(out + len, "],\"hasMore\":false,\"end\":%d}", *n);
+	pthread_mutex_unlock(&store.lock);
+	respond(fd, 200, "Content-Type: application/json\r\n", out, len);
+	free(out);
+}
+
+static void
+store_append(int fd, const struct message *m, struct record *list, int *n)
+{
+	size_t k = m->len > 5 ? (unsigned char)m->body[4] : 0;
+	char key[64] = "";
+
+	if (m->len >= 5 + k && k < sizeof(key)) {
+		memcpy(key, m->body + 5, k);
+		store_add(list, n, key, m->body + 5 + k, m->len - 5 - k);
+	}
+	respond(fd, 200, "Content-Type: application/json\r\n",
+	    "{\"offset\":0,\"end\":1}", 20);
+}
+
+struct conn {
+	int fd;
+	int node; /* whose address of the store it is */
+	struct server *server;
+};
+
+static void *
+store_conn(void *arg)
+{
+	struct conn *c = arg;
+	struct input *in = calloc(1, sizeof(*in));
+	struct message *m = message_new();
+	int nodes;
+
+	in->fd = c->fd;
+	while (read_message(in, m, now_ms() + 600000) == 0) {
+		nodes = strstr(m->head, "topic=keyed.nodes") != NULL;
+		if (strstr(m->head, "/-/log-newest") != NULL)
+			store_newest(c->fd, nodes ? store.nodes : store.records,
+			    nodes ? &store.n_nodes : &store.n);
+		else if (strstr(m->head, "/-/log-read") != NULL)
+			store_read(c->fd, c->node, m->head,
+			    nodes ? store.nodes : store.records,
+			    nodes ? &store.n_nodes : &store.n);
+		else if (strstr(m->head, "/-/log-append") != NULL && nodes)
+			store_append(c->fd, m, store.nodes, &store.n_nodes);
+		else
+			respond(c->fd, 403, "", "", 0);
+	}
+	close(c->fd);
+	message_free(m);
+	free(in);
+	free(c);
+	return NULL;
+}
+
+/* ---- backend servers ---- */
+
+struct run {
+	long long at; /* when it reached the server */
+	long long sent; /* by the caller */
+	int server, node; /* node: where it began */
+	int once; /* a POST, which must not run twice */
+	char id[40];
+};
+
+static struct {
+	struct run run[20000];
+	int n;
+} runs;
+
+/* Ids of callers: NODE-NUMBER-TIME of sending, in ms of the rig. */
+static void
+count_run(struct server *s, const char *id, int once)
+{
+	struct run *r;
+
+	pthread_mutex_lock(&rig.lock);
+	if (runs.n < (int)(sizeof(runs.run) / sizeof(runs.run[0]))) {
+		r = &runs.run[runs.n++];
+		r->at = at();
+		r->server = s->i;
+		r->once = once;
+		snprintf(r->id, sizeof(r->id), "%s", id);
+		if (sscanf(id, "%d-%*d-%lld", &r->node, &r->sent) != 2)
+			r->node = -1;
+	}
+	pthread_mutex_unlock(&rig.lock);
+	note("server %d (%s) runs %s", s->i, s->service, id);
+}
+
+static void
+serve(struct conn *c, const struct message *m)
+{
+	struct server *s = c->server;
+	char id[40], target[64], fields[512], body[160];
+
+	field(m->head, "X-Primrosetide-Attempt-Id", id, sizeof(id));
+	field(m->head, "X-Primrosetide-Target-Instance", target, sizeof(target));
+	if (strncmp(m->head, "GET /health ", 12) == 0) {
+		snprintf(fields, sizeof(fields),
+		    "X-Primrosetide-Instance-Id: %s\r\n", s->id);
+		note("server %d is asked for its health: %d", s->i, s->health);
+		respond(c->fd, s->health, fields, "", 0);
+		return;
+	}
+	snprintf(fields, sizeof(fields),
+	    "X-Primrosetide-Not-Executed: 1\r\n"
+	    "X-Primrosetide-Attempt-Id: %s\r\n", id);
+	if (*id == '\0') {
+		respond(c->fd, 400, "X-Primrosetide-Not-Executed: 1\r\n", "", 0);
+		return;
+	}
+	if (*target != '\0' && strcmp(target, s->id) != 0) {
+		respond(c->fd, 421, fields, "", 0);
+		return;
+	}
+	if (++s->running > SLOTS) {
+		s->running--;
+		respond(c->fd, 503, fields, "", 0);
+		return;
+	}
+	count_run(s, id, strncmp(m->head, "POST", 4) == 0);
+	sleep_ms(s->work_ms);
+	snprintf(body, sizeof(body), "body of %s from %s", id, s->id);
+	snprintf(fields, sizeof(fields),
+	    "X-Primrosetide-Attempt-Id: %s\r\n"
+	    "X-Primrosetide-Response-Signature: sig-%s\r\n", id, id);
+	respond(c->fd, 200, fields, body, strlen(body));
+	s->running--;
+}
+
+static void *
+server_conn(void *arg)
+{
+	struct conn *c = arg;
+	struct input *in = calloc(1, sizeof(*in));
+	struct message *m = message_new();
+
+	in->fd = c->fd;
+	while (read_message(in, m, now_ms() + 10000) == 0)
+		serve(c, m);
+	close(c->fd);
+	message_free(m);
+	free(in);
+	free(c);
+	return NULL;
+}
+
+struct listener {
+	int fd, node;
+	struct server *server; /* NULL: the store */
+};
+
+static void *
+accept_loop(void *arg)
+{
+	struct listener *l = arg;
+	struct conn *c;
+	int fd, one = 1;
+
+	for (;;) {
+		fd = accept4(l->fd, NULL, NULL, SOCK_CLOEXEC);
+		if (fd < 0)
+			continue;
+		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+		c = calloc(1, sizeof(*c));
+		c->fd = fd;
+		c->node = l->node;
+		c->server = l->server;
+		spawn(l->server != NULL ? server_conn : store_conn, c);
+	}
+	return NULL;
+}
+
+/* ---- calls of the rig ---- */
+
+/* Status of the answer; 0: none. */
+static int
+call(int host, int port, const char *text, long long timeout,
+    struct message *answer)
+{
+	struct input *in = calloc(1, sizeof(*in));
+	int status = 0;
+
+	in->fd = connect_to(host, port);
+	if (in->fd >= 0) {
+		if (send_all(in->fd, text, strlen(text)) == 0 &&
+		    read_message(in, answer, now_ms() + timeout) == 0)
+			status = atoi(answer->head + 9);
+		close(in->fd);
+	}
+	free(in);
+	return status;
+}
+
+/* An announcement as it is sent; it may be delivered later. */
+static void
+beat_text(struct server *s, char *out, size_t size)
+{
+	char body[512], host[32];
+
+	host_of(s->i, host);
+	snprintf(body, sizeof(body),
+	    "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"z\","
+	    "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\",\"coldLeftS\":0,"
+	    "\"sequence\":%ld,\"born\":%lld}",
+	    s->service, host, APP, SLOTS,
+	    s->draining ? "draining" : "in_service", ++s->sequence, s->born);
+	snprintf(out, size,
+	    "PUT /-/instances/%s HTTP/1.1\r\nHost: control\r\n"
+	    "Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n%s",
+	    s->id, strlen(body), body);
+}
+
+static void *
+beat_loop(void *arg)
+{
+	struct server *s = arg;
+	struct message *m = message_new();
+	char text[1024];
+
+	for (;;) {
+		if (s->beats) {
+			beat_text(s, text, sizeof(text));
+			call(s->i, CONTROL, text, 1000, m);
+		}
+		sleep_ms(1500);
+	}
+	return NULL;
+}
+
+/* ---- nodes ---- */
+
+static const char *const zones[] = { "z-1", "z-2", "z-3" };
+
+static void
+write_settings(int i, int first)
+{
+	char path[256], h[32], seed[32];
+	FILE *f;
+
+	host_of(i, h);
+	host_of((i + 1) % rig.n, seed);
+	snprintf(path, sizeof(path), "%s/%d.conf", rig.dir, i);
+	f = fopen(path, "w");
+	if (f == NULL)
+		exit(NOT_RUN);
+	fprintf(f,
+	    "nodeName=node-%d\nrole=proxy\nmachineClass=sidecar\n"
+	    "serves=sidecar\nip=%s\nzone=%s\nregion=r\n"
+	    "listenAddrs.inbound=%s:%d\nlistenAddrs.outbound=%s:%d\n"
+	    "listenAddrs.ready=%s:%d\nlistenAddrs.control=%s:%d\n"
+	    "portRange=%d,%d\nseedNodes=%s:%d\nbootstrap=%s\n"
+	    "limits.memoryMb=260\nlimits.maxFds=4100\nlimits.linkMbps=1000\n"
+	    "heartbeatS=1.5\nbounds.contactS=3\nbounds.drainS=2\n"
+	    "bounds.graceS=6\nbounds.configApplyS=2\n"
+	    "bounds.retryBudgetRatio=0.2\nbounds.budgetWindowS=10\n"
+	    "bounds.retryBudgetSlack=58\nappAddr=%s:%d\nservice=%s\n"
+	    "platform.address=%s:%d\nplatform.form=log\nplatform.parts=12\n",
+	    i, h, zones[i % 3], h, INBOUND, h, OUTBOUND, h, READY, h, CONTROL,
+	    PORT_FIRST, PORT_LAST, seed, CONTROL, first ? "true" : "false", h,
+	    APP,
+	    rig.server[i].service, h, STORE);
+	fclose(f);
+}
+
+static void
+node_start(int i)
+{
+	char path[256], log[256];
+	pid_t pid;
+
+	snprintf(path, sizeof(path), "%s/%d.conf", rig.dir, i);
+	snprintf(log, sizeof(log), "%s/%d.log", rig.dir, i);
+	pid = fork();
+	if (pid < 0)
+		exit(NOT_RUN);
+	if (pid == 0) {
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
+		setenv("PRIMROSETIDE_BOOT", path, 1);
+		if (freopen(log, "a", stdout) == NULL)
+			_exit(127);
+		execl(rig.program, rig.program, (char *)NULL);
+		_exit(127);
+	}
+	rig.pid[i] = pid;
+	note("node %d is started", i);
+}
+
+static void
+node_signal(int i, int sig)
+{
+	note("node %d gets signal %d", i, sig);
+	if (rig.pid[i] > 0)
+		kill(rig.pid[i], sig);
+}
+
+/* Kills the nodes of a set at the same moment. */
+static void
+kill_nodes(const int set[NODES_MAX])
+{
+	int i;
+
+	for (i = 0; i < rig.n; i++)
+		if (set[i])
+			node_signal(i, SIGKILL);
+	for (i = 0; i < rig.n; i++)
+		if (set[i]) {
+			waitpid(rig.pid[i], NULL, 0);
+			rig.pid[i] = 0;
+		}
+}
+
+static void
+start_nodes(const int set[NODES_MAX])
+{
+	int i;
+
+	for (i = 0; i < rig.n; i++)
+		if (set[i])
+			node_start(i);
+}
+
+static int
+node_ready(int i)
+{
+	struct message *m = message_new();
+	int status = call(i, READY,
+	    "GET /-/readiness HTTP/1.1\r\nHost: ready\r\n\r\n", 1000, m);
+
+	message_free(m);
+	return status == 200;
+}
+
+static void
+end_nodes(void)
+{
+	int i;
+
+	for (i = 0; i < rig.n; i++)
+		if (rig.pid[i] > 0) {
+			kill(rig.pid[i], SIGCONT);
+			kill(rig.pid[i], SIGKILL);
+			waitpid(rig.pid[i], NULL, 0);
+			rig.pid[i] = 0;
+		}
+}
+
+/* ---- callers ---- */
+
+struct answer {
+	int node, status;
+	long long sent, at;
+	char id[40];
+};
+
+static struct {
+	struct answer answer[20000];
+	atomic_int n, on, number;
+} callers;
+
+static int
+ask(int node, const char *method, const char *path, int deadline_ms)
+{
+	struct message *m = message_new();
+	char text[512];
+	struct answer a = { .node = node, .sent = at() };
+	int k;
+
+	snprintf(a.id, sizeof(a.id), "%d-%d-%lld", node, ++callers.number,
+	    a.sent);
+	snprintf(text, sizeof(text),
+	    "%s %s HTTP/1.1\r\nHost: mesh.example\r\n"
+	    "X-Primrosetide-Attempt-Id: %s\r\n"
+	    "X-Primrosetide-Deadline-Ms: %d\r\nContent-Length: 0\r\n\r\n",
+	    method, path, a.id, deadline_ms);
+	a.status = call(node, OUTBOUND, text, deadline_ms + 500, m);
+	a.at = at();
+	note("caller at node %d: %s %s %s answered %d", node, method, path, a.id,
+	    a.status);
+	k = callers.n++;
+	if (k < (int)(sizeof(callers.answer) / sizeof(callers.answer[0])))
+		callers.answer[k] = a;
+	message_free(m);
+	return a.status;
+}
+
+static void *
+caller_loop(void *arg)
+{
+	int node = (int)(long)arg;
+
+	for (;;) {
+		if (callers.on && rig.pid[node] > 0)
+			ask(node, "GET", "/many/x", 2000);
+		sleep_ms(60);
+	}
+	return NULL;
+}
+
+/* ---- start ---- */
+
+static long version;
+
+/*
+ * Writes a configuration: "once" is the service of the route "/once/", "more"
+ * holds further rows of routes.
+ */
+static void
+publish(const char *once, const char *more)
+{
+	char *text = malloc(8192);
+
+	version += 3;
+	snprintf(text, 8192,
+	    "{\"version\":%ld,\"routes\":{\"columns\":[\"name\",\"host\","
+	    "\"pathPrefix\",\"kind\",\"timeoutS\",\"targetLatencyS\","
+	    "\"priority\",\"service\",\"maxAttempts\"],\"rows\":[[\"many\","
+	    "\"mesh.example\",\"/many/\",\"idempotent\",2,0.5,0,\"svc-a\",2],"
+	    "[\"once\",\"mesh.example\",\"/once/\",\"non_idempotent\",2,0.5,1,"
+	    "\"%s\",2]%s]},\"services\":{\"columns\":[\"name\","
+	    "\"healthPath\",\"maxConnections\"],\"rows\":[[\"svc-a\","
+	    "\"/health\",110],[\"svc-b\",\"/health\",110]]},\"limits\":{"
+	    "\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000000,"
+	    "\"headerTimeoutS\":5,\"idleTimeoutS\":20}}",
+	    version, once, more);
+	note("the operator writes version %ld", version);
+	store_add(store.records, &store.n, "config", text, strlen(text));
+	note("version %ld is acknowledged", version);
+	free(text);
+}
+
+static void
+serve_at(int host, int port, struct server *s)
+{
+	struct listener *l = calloc(1, sizeof(*l));
+
+	l->fd = listen_at(host, port);
+	l->node = host;
+	l->server = s;
+	if (l->fd < 0) {
+		fprintf(stderr, "rig2: cannot listen\n");
+		exit(NOT_RUN);
+	}
+	spawn(accept_loop, l);
+}
+
+static void
+rig_start(int n)
+{
+	struct server *s;
+	int i, fd = -1, tries;
+
+	rig.n = n;
+	for (tries = 0; tries < 50 && fd < 0; tries++) {
+		rig.net_a = 64 + ((int)getpid() + tries) % 128;
+		rig.net_b = (int)getpid() / 128 % 250;
+		fd = listen_at(STORE_HOST - 1, STORE);
+	}
+	if (fd < 0)
+		exit(NOT_RUN);
+	close(fd);
+	publish("svc-b", "");
+	for (i = 0; i < n; i++) {
+		s = &rig.server[i];
+		s->i = i;
+		snprintf(s->id, sizeof(s->id), "i-%d", i);
+		s->service = i * 2 < n ? "svc-a" : "svc-b";
+		s->born = wall_ms();
+		s->work_ms = 30;
+		s->health = 200;
+		s->beats = 1;
+		serve_at(i, APP, s);
+		serve_at(i, STORE, NULL); /* the store, as this node reaches it */
+		write_settings(i, 1);
+		node_start(i);
+		spawn(beat_loop, s);
+	}
+	sleep_ms(7000);
+	for (i = 0; i < n; i++)
+		if (!node_ready(i)) {
+			fprintf(stderr, "rig2: node %d is not ready\n", i);
+			end_nodes();
+			exit(NOT_RUN);
+		}
+	for (i = 0; i < n; i++) {
+		write_settings(i, 0);
+		spawn(caller_loop, (void *)(long)i);
+	}
+	callers.on = 1;
+}
+
+#include "cases2.c"
+
+static void
+remove_dir(void)
+{
+	char path[256];
+	int i;
+
+	for (i = 0; i < rig.n; i++) {
+		snprintf(path, sizeof(path), "%s/%d.conf", rig.dir, i);
+		unlink(path);
+		snprintf(path, sizeof(path), "%s/%d.log", rig.dir, i);
+		unlink(path);
+	}
+	rmdir(rig.dir);
+}
+
+int
+main(int argc, char **argv)
+{
+	const char *t = getenv("TROUBLE");
+	int i, code = NOT_RUN;
+
+	if (argc != 4) {
+		fprintf(stderr, "usage: rig2 CASE PTPROXY RECORD\n");
+		return NOT_RUN;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	rig.start_ms = now_ms();
+	rig.trouble = t == NULL || strcmp(t, "0") != 0;
+	rig.program = argv[2];
+	rig.record = fopen(argv[3], "w");
+	snprintf(rig.dir, sizeof(rig.dir), "/tmp/rig2-XXXXXX");
+	if (rig.record == NULL || mkdtemp(rig.dir) == NULL)
+		return NOT_RUN;
+	pthread_mutex_init(&rig.lock, NULL);
+	pthread_mutex_init(&store.lock, NULL);
+	pthread_cond_init(&store.changed, NULL);
+	for (i = 0; cases[i].name != NULL; i++)
+		if (strcmp(cases[i].name, argv[1]) == 0)
+			code = cases[i].run();
+	end_nodes();
+	if (getenv("KEEP_LOGS") == NULL)
+		remove_dir();
+	note("%s", code == HELD ? "held" : code == BROKEN ? "broken" : "not run");
+	return code;
+}
