review: CONFIG broken while the readers are cut off from the store

Cause: readers notice a silent path to the store at the end of their long poll only, and the other nodes do not read meanwhile. Change: a script that shows it; the stand-ins are one formatted file.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,5 +4,5 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-"${CC:-cc}" -std=gnu11 -D_GNU_SOURCE -O2 -Wall -Wextra -pthread \
+"${CC:-cc}" -std=gnu11 -O2 -Wall -Wextra -pthread \
     -o target/review/rig2 review/rig2.c
--- a/review/rig2.c
+++ b/review/rig2.c
@@ -4,6 +4,7 @@
  * as separate processes.  Each node has its own loopback address; the ports are
  * the same on all of them.  Usage: rig2 CASE PTPROXY RECORD.
  */
+#define _GNU_SOURCE
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/tcp.h>
@@ -23,7 +24,7 @@
 #include <time.h>
 #include <unistd.h>
 
-#define NODES_MAX 12
+#define NODES_MAX 18
 #define OUTBOUND 8601
 #define INBOUND 8602
 #define READY 8603
@@ -37,9 +38,21 @@
 #define RECORDS_MAX 256
 #define HEAD_MAX 16384
 #define BODY_MAX 262144
+/* Times of the settings, in ms. */
+#define CONTACT_MS 3000
+#define DRAIN_MS 2000
+#define APPLY_MS 2000
+/* Time after which the keep-alive probes of a node find a silent path. */
+#define KEEPALIVE_MS 3000
+/* Allowance for the time on the way between the rig and a node. */
+#define SLACK_MS 100
 
 /* Exit codes of a case. */
-enum { HELD = 0, BROKEN = 1, NOT_RUN = 2 };
+enum {
+	HELD = 0,
+	BROKEN = 1,
+	NOT_RUN = 2
+};
 
 struct server {
 	int i;
@@ -358,12 +371,18 @@
 	struct record nodes[RECORDS_MAX]; /* of keyed.nodes */
 	int n_nodes;
 	atomic_int polls[NODES_MAX]; /* long polls in progress, by node */
+	/*
+	 * 1: the node is cut off from the store, both hear nothing; 2: its
+	 * keep-alive probes have found that, open connections are reset.
+	 */
+	atomic_int cut[NODES_MAX];
 	pthread_mutex_t lock;
 	pthread_cond_t changed;
 } store;
 
 static void
-store_add(struct record *list, int *n, const char *key, const void *v, size_t len)
+store_add(
+    struct record *list, int *n, const char *key, const void *v, size_t len)
 {
 	pthread_mutex_lock(&store.lock);
 	if (*n < RECORDS_MAX) {
@@ -392,7 +411,8 @@
 {
 	char head[1024];
 	int k = snprintf(head, sizeof(head),
-	    "HTTP/1.1 %d X\r\n%sContent-Length: %zu\r\n\r\n", status, fields, n);
+	    "HTTP/1.1 %d X\r\n%sContent-Length: %zu\r\n\r\n", status, fields,
+	    n);
 
 	if (send_all(fd, head, (size_t)k) == 0)
 		send_all(fd, body, n);
@@ -406,7 +426,7 @@
 	long wait = w != NULL ? strtol(w + 7, NULL, 10) : 0;
 	struct timespec t;
 	char *out = malloc(BODY_MAX);
-	size_t len = 0, k;
+	size_t len, k;
 	int i;
 
 	clock_gettime(CLOCK_REALTIME, &t);
@@ -424,7 +444,7 @@
 		;
 	if (wait > 0)
 		store.polls[node]--;
-	len += put_be(out, (unsigned long long)*n, 8);
+	len = put_be(out, (unsigned long long)*n, 8);
 	len += put_be(out + len, 0, 8);
 	for (i = (int)from; i < *n; i++) {
 		k = strlen(list[i].key);
@@ -435,7 +455,8 @@
 		len += k + list[i].len;
 	}
 	pthread_mutex_unlock(&store.lock);
-	respond(fd, 200, "", out, len);
+	if (!store.cut[node])
+		respond(fd, 200, "", out, len);
 	free(out);
 }
 
@@ -474,12 +495,14 @@
 			;
 		if (j < *n || list[i].len == 0)
 			continue;
-		len += (size_t)sprintf(out + len, "%s{\"key\":\"%s\",\"value\":\"",
-		    some++ ? "," : "", list[i].key);
+		len +=
+		    (size_t)sprintf(out + len, "%s{\"key\":\"%s\",\"value\":\"",
+			some++ ? "," : "", list[i].key);
 		len += base64(list[i].value, list[i].len, out + len);
 		len += (size_t)sprintf(out + len, "\",\"offset\":%d}", i);
 	}
-	len += (size_t)sprintf(out + len, "],\"hasMore\":false,\"end\":%d}", *n);
+	len +=
+	    (size_t)sprintf(out + len, "],\"hasMore\":false,\"end\":%d}", *n);
 	pthread_mutex_unlock(&store.lock);
 	respond(fd, 200, "Content-Type: application/json\r\n", out, len);
 	free(out);
@@ -499,6 +522,15 @@
 	    "{\"offset\":0,\"end\":1}", 20);
 }
 
+static void
+reset(int fd)
+{
+	struct linger l = { 1, 0 };
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
+	close(fd);
+}
+
 struct conn {
 	int fd;
 	int node; /* whose address of the store it is */
@@ -511,11 +543,14 @@
 	struct conn *c = arg;
 	struct input *in = calloc(1, sizeof(*in));
 	struct message *m = message_new();
-	int nodes;
+	int nodes, lost = 0;
 
 	in->fd = c->fd;
-	while (read_message(in, m, now_ms() + 600000) == 0) {
+	while (!lost && read_message(in, m, now_ms() + 600000) == 0) {
 		nodes = strstr(m->head, "topic=keyed.nodes") != NULL;
+		lost = store.cut[c->node];
+		if (lost)
+			break;
 		if (strstr(m->head, "/-/log-newest") != NULL)
 			store_newest(c->fd, nodes ? store.nodes : store.records,
 			    nodes ? &store.n_nodes : &store.n);
@@ -527,8 +562,14 @@
 			store_append(c->fd, m, store.nodes, &store.n_nodes);
 		else
 			respond(c->fd, 403, "", "", 0);
+		lost = store.cut[c->node];
 	}
-	close(c->fd);
+	while (lost && store.cut[c->node] == 1)
+		sleep_ms(20);
+	if (lost)
+		reset(c->fd);
+	else
+		close(c->fd);
 	message_free(m);
 	free(in);
 	free(c);
@@ -577,7 +618,8 @@
 	char id[40], target[64], fields[512], body[160];
 
 	field(m->head, "X-Primrosetide-Attempt-Id", id, sizeof(id));
-	field(m->head, "X-Primrosetide-Target-Instance", target, sizeof(target));
+	field(
+	    m->head, "X-Primrosetide-Target-Instance", target, sizeof(target));
 	if (strncmp(m->head, "GET /health ", 12) == 0) {
 		snprintf(fields, sizeof(fields),
 		    "X-Primrosetide-Instance-Id: %s\r\n", s->id);
@@ -587,9 +629,11 @@
 	}
 	snprintf(fields, sizeof(fields),
 	    "X-Primrosetide-Not-Executed: 1\r\n"
-	    "X-Primrosetide-Attempt-Id: %s\r\n", id);
+	    "X-Primrosetide-Attempt-Id: %s\r\n",
+	    id);
 	if (*id == '\0') {
-		respond(c->fd, 400, "X-Primrosetide-Not-Executed: 1\r\n", "", 0);
+		respond(
+		    c->fd, 400, "X-Primrosetide-Not-Executed: 1\r\n", "", 0);
 		return;
 	}
 	if (*target != '\0' && strcmp(target, s->id) != 0) {
@@ -606,7 +650,8 @@
 	snprintf(body, sizeof(body), "body of %s from %s", id, s->id);
 	snprintf(fields, sizeof(fields),
 	    "X-Primrosetide-Attempt-Id: %s\r\n"
-	    "X-Primrosetide-Response-Signature: sig-%s\r\n", id, id);
+	    "X-Primrosetide-Response-Signature: sig-%s\r\n",
+	    id, id);
 	respond(c->fd, 200, fields, body, strlen(body));
 	s->running--;
 }
@@ -741,8 +786,7 @@
 	    "platform.address=%s:%d\nplatform.form=log\nplatform.parts=12\n",
 	    i, h, zones[i % 3], h, INBOUND, h, OUTBOUND, h, READY, h, CONTROL,
 	    PORT_FIRST, PORT_LAST, seed, CONTROL, first ? "true" : "false", h,
-	    APP,
-	    rig.server[i].service, h, STORE);
+	    APP, rig.server[i].service, h, STORE);
 	fclose(f);
 }
 
@@ -849,8 +893,8 @@
 	struct answer a = { .node = node, .sent = at() };
 	int k;
 
-	snprintf(a.id, sizeof(a.id), "%d-%d-%lld", node, ++callers.number,
-	    a.sent);
+	snprintf(
+	    a.id, sizeof(a.id), "%d-%d-%lld", node, ++callers.number, a.sent);
 	snprintf(text, sizeof(text),
 	    "%s %s HTTP/1.1\r\nHost: mesh.example\r\n"
 	    "X-Primrosetide-Attempt-Id: %s\r\n"
@@ -858,8 +902,8 @@
 	    method, path, a.id, deadline_ms);
 	a.status = call(node, OUTBOUND, text, deadline_ms + 500, m);
 	a.at = at();
-	note("caller at node %d: %s %s %s answered %d", node, method, path, a.id,
-	    a.status);
+	note("caller at node %d: %s %s %s answered %d", node, method, path,
+	    a.id, a.status);
 	k = callers.n++;
 	if (k < (int)(sizeof(callers.answer) / sizeof(callers.answer[0])))
 		callers.answer[k] = a;
@@ -953,7 +997,8 @@
 		s->health = 200;
 		s->beats = 1;
 		serve_at(i, APP, s);
-		serve_at(i, STORE, NULL); /* the store, as this node reaches it */
+		serve_at(
+		    i, STORE, NULL); /* the store, as this node reaches it */
 		write_settings(i, 1);
 		node_start(i);
 		spawn(beat_loop, s);
@@ -972,7 +1017,235 @@
 	callers.on = 1;
 }
 
-#include "cases2.c"
+/* ---- 6: the nodes that read the store are dark ---- */
+
+static atomic_int probing;
+
+static void *
+probe_loop(void *arg)
+{
+	int node = (int)(long)arg;
+
+	while (probing) {
+		ask(node, "GET", "/new/x", 1000);
+		ask(node, "POST", "/once/x", 1000);
+		sleep_ms(20);
+	}
+	return NULL;
+}
+
+/* A node that does not read the store, beside a server of svc-b. */
+static int
+choose_survivor(void)
+{
+	int i;
+
+	for (i = rig.n - 1; i >= 0; i--) {
+		note("node %d %s the store", i,
+		    store.polls[i] > 0 ? "reads" : "does not read");
+		if (store.polls[i] == 0 &&
+		    strcmp(rig.server[i].service, "svc-b") == 0)
+			return i;
+	}
+	return rig.n - 1;
+}
+
+/*
+ * A version moves "/once/" from svc-b to svc-a and adds "/new/".  Counts the
+ * requests of one node that was not touched that are handled as only the older
+ * version allows.
+ */
+static int
+case_dark(void)
+{
+	int i, survivor, kill_set[NODES_MAX] = { 0 }, old = 0, refused = 0;
+	const struct answer *a;
+	const struct run *r;
+	long long acked;
+
+	rig_start(11);
+	sleep_ms(5000);
+	survivor = choose_survivor();
+	for (i = 0; i < rig.n; i++)
+		kill_set[i] = i != survivor;
+	if (rig.trouble)
+		kill_nodes(kill_set);
+	publish("svc-a",
+	    ",[\"new\",\"mesh.example\",\"/new/\",\"idempotent\",2,0.5,0,"
+	    "\"svc-a\",2]");
+	acked = at();
+	probing = 1;
+	spawn(probe_loop, (void *)(long)survivor);
+	sleep_until(acked + 4500);
+	if (rig.trouble)
+		start_nodes(kill_set);
+	sleep_until(acked + 8000);
+	probing = callers.on = 0;
+	sleep_ms(1500);
+	for (i = 0; i < callers.n; i++) {
+		a = &callers.answer[i];
+		refused += a->node == survivor && a->status == 404 &&
+			   a->sent > acked + APPLY_MS + SLACK_MS;
+	}
+	for (i = 0; i < runs.n; i++) {
+		r = &runs.run[i];
+		old += r->node == survivor && r->once &&
+		       r->sent > acked + APPLY_MS + SLACK_MS &&
+		       strcmp(rig.server[r->server].service, "svc-b") == 0;
+	}
+	note("sent at node %d later than %d ms after the acknowledgement: "
+	     "%d refused with 404, %d run by the old service",
+	    survivor, APPLY_MS + SLACK_MS, refused, old);
+	return refused + old > 0 ? BROKEN : HELD;
+}
+
+/* ---- 7: a server that has left ---- */
+
+/*
+ * Server 0 leaves with DELETE and serves on for some seconds.  Counts the
+ * requests that reach it later than allowed.
+ */
+static int
+case_left(void)
+{
+	struct server *s = &rig.server[0];
+	struct message *m = message_new();
+	int i, status, late = 0, kill_set[NODES_MAX];
+	char beat[1024], text[256];
+	long long acked, back;
+
+	rig_start(6);
+	sleep_ms(3000);
+	s->beats = 0;
+	sleep_ms(200);
+	beat_text(s, beat, sizeof(beat));
+	note(
+	    "server 0 sends announcement %ld, which arrives late", s->sequence);
+	sleep_ms(200);
+	snprintf(text, sizeof(text),
+	    "DELETE /-/instances/%s HTTP/1.1\r\nHost: control\r\n\r\n", s->id);
+	s->health = 503;
+	status = call(0, CONTROL, text, 1000, m);
+	acked = back = at();
+	note("server 0 says that it leaves: answered %d", status);
+	if (status != 200)
+		return NOT_RUN;
+	for (i = 0; i < NODES_MAX; i++)
+		kill_set[i] = 1;
+	sleep_ms(300);
+	if (rig.trouble) {
+		kill_nodes(kill_set);
+		sleep_ms(1000);
+		start_nodes(kill_set);
+		back = at();
+	}
+	sleep_until(acked + 4000);
+	status = call(0, CONTROL, beat, 1000, m);
+	note("the late announcement of server 0 arrives: answered %d", status);
+	sleep_until(acked + 10000);
+	callers.on = 0;
+	sleep_ms(1000);
+	for (i = 0; i < runs.n; i++)
+		late += runs.run[i].server == 0 &&
+			runs.run[i].at > acked + DRAIN_MS + SLACK_MS &&
+			runs.run[i].sent > back + CONTACT_MS + SLACK_MS;
+	note("requests at server 0 later than %d ms after the acknowledgement, "
+	     "sent later than %d ms after the start of the nodes: %d",
+	    DRAIN_MS + SLACK_MS, CONTACT_MS + SLACK_MS, late);
+	message_free(m);
+	return late > 0 ? BROKEN : HELD;
+}
+
+/* ---- 8: the nodes that read the store are cut off from it ---- */
+
+/* TRUE for the nodes that hold a read open, which are a third of all. */
+static int
+choose_readers(int set[NODES_MAX])
+{
+	int i, n = 0;
+
+	for (i = 0; i < rig.n; i++) {
+		set[i] = store.polls[i] > 0 && n < rig.n / 3;
+		n += set[i];
+		note("node %d %s the store", i,
+		    set[i] ? "reads" : "does not read");
+	}
+	return n;
+}
+
+static void
+cut(const int set[NODES_MAX], int state)
+{
+	int i;
+
+	for (i = 0; i < rig.n; i++)
+		store.cut[i] = set[i] ? state : 0;
+	note("the path of these nodes to the store is %s",
+	    state == 0	 ? "restored"
+	    : state == 1 ? "silent"
+			 : "silent, and its open connections are found dead");
+}
+
+/*
+ * A version moves "/once/" from svc-b to svc-a and adds "/new/".  Counts the
+ * requests at nodes with a sound path to the store that are handled as only the
+ * older version allows.
+ */
+static int
+case_cut(void)
+{
+	int i, n, refused = 0, old = 0, set[NODES_MAX] = { 0 };
+	const struct answer *a;
+	const struct run *r;
+	long long acked;
+
+	rig_start(18);
+	sleep_ms(3000);
+	n = choose_readers(set);
+	if (rig.trouble)
+		cut(set, 1);
+	sleep_ms(50);
+	publish("svc-a",
+	    ",[\"new\",\"mesh.example\",\"/new/\",\"idempotent\",2,0.5,0,"
+	    "\"svc-a\",2]");
+	acked = at();
+	probing = 1;
+	for (i = 0; i < rig.n; i++)
+		if (!set[i])
+			spawn(probe_loop, (void *)(long)i);
+	if (rig.trouble) {
+		sleep_until(acked + KEEPALIVE_MS);
+		cut(set, 2);
+	}
+	sleep_until(acked + 7000);
+	if (rig.trouble)
+		cut(set, 0);
+	probing = callers.on = 0;
+	sleep_ms(1500);
+	for (i = 0; i < callers.n; i++) {
+		a = &callers.answer[i];
+		refused += a->status == 404 && !set[a->node] &&
+			   a->sent > acked + APPLY_MS + SLACK_MS;
+	}
+	for (i = 0; i < runs.n; i++) {
+		r = &runs.run[i];
+		old += r->once && r->node >= 0 && !set[r->node] &&
+		       r->sent > acked + APPLY_MS + SLACK_MS &&
+		       strcmp(rig.server[r->server].service, "svc-b") == 0;
+	}
+	note(
+	    "%d of %d nodes were cut off; sent at the others later than %d ms "
+	    "after the acknowledgement: %d refused with 404, %d run by the old "
+	    "service",
+	    n, rig.n, APPLY_MS + SLACK_MS, refused, old);
+	return refused + old > 0 ? BROKEN : HELD;
+}
+
+static const struct {
+	const char *name;
+	int (*run)(void);
+} cases[] = { { "dark", case_dark }, { "left", case_left }, { "cut", case_cut },
+	{ NULL, NULL } };
 
 static void
 remove_dir(void)
@@ -1016,6 +1289,8 @@
 	end_nodes();
 	if (getenv("KEEP_LOGS") == NULL)
 		remove_dir();
-	note("%s", code == HELD ? "held" : code == BROKEN ? "broken" : "not run");
+	note("%s", code == HELD	    ? "held"
+		   : code == BROKEN ? "broken"
+				    : "not run");
 	return code;
 }
