review: DRAIN broken after a kill of one node

Cause: departures are told only to a node that is seen booting; one that has registered a late heartbeat before it joins is seen serving. Change: a script that shows it, as case 7; the kill of all nodes is case 9.

--- a/review/rig2.c
+++ b/review/rig2.c
@@ -34,6 +34,7 @@
 #define PORT_FIRST 8610
 #define PORT_LAST 8625
 #define STORE_HOST 250
+#define STALE_HOST 199 /* nothing listens there */
 #define SLOTS 12
 #define RECORDS_MAX 256
 #define HEAD_MAX 16384
@@ -760,14 +761,15 @@
 
 static const char *const zones[] = { "z-1", "z-2", "z-3" };
 
+/* "first": the first start; "stale": the seed is of a machine that is gone. */
 static void
-write_settings(int i, int first)
+write_settings(int i, int first, int stale)
 {
 	char path[256], h[32], seed[32];
 	FILE *f;
 
 	host_of(i, h);
-	host_of((i + 1) % rig.n, seed);
+	host_of(stale ? STALE_HOST : (i + 1) % rig.n, seed);
 	snprintf(path, sizeof(path), "%s/%d.conf", rig.dir, i);
 	f = fopen(path, "w");
 	if (f == NULL)
@@ -999,7 +1001,7 @@
 		serve_at(i, APP, s);
 		serve_at(
 		    i, STORE, NULL); /* the store, as this node reaches it */
-		write_settings(i, 1);
+		write_settings(i, 1, 0);
 		node_start(i);
 		spawn(beat_loop, s);
 	}
@@ -1011,7 +1013,7 @@
 			exit(NOT_RUN);
 		}
 	for (i = 0; i < n; i++) {
-		write_settings(i, 0);
+		write_settings(i, 0, 0);
 		spawn(caller_loop, (void *)(long)i);
 	}
 	callers.on = 1;
@@ -1099,22 +1101,23 @@
 	return refused + old > 0 ? BROKEN : HELD;
 }
 
-/* ---- 7: a server that has left ---- */
+/* ---- 7 and 9: a server that has left ---- */
 
 /*
- * Server 0 leaves with DELETE and serves on for some seconds.  Counts the
- * requests that reach it later than allowed.
+ * Server 0 leaves with DELETE and serves on for some seconds; an announcement
+ * that it sent before arrives late.  Meanwhile the nodes of the set are killed
+ * and start again.  Counts the requests that reach the server later than
+ * allowed, "delay" ms after the nodes are back or, without trouble, as late.
  */
 static int
-case_left(void)
+leave_and_kill(const int set[NODES_MAX], int delay)
 {
 	struct server *s = &rig.server[0];
 	struct message *m = message_new();
-	int i, status, late = 0, kill_set[NODES_MAX];
+	int i, status, late = 0;
 	char beat[1024], text[256];
 	long long acked, back;
 
-	rig_start(6);
 	sleep_ms(3000);
 	s->beats = 0;
 	sleep_ms(200);
@@ -1126,20 +1129,18 @@
 	    "DELETE /-/instances/%s HTTP/1.1\r\nHost: control\r\n\r\n", s->id);
 	s->health = 503;
 	status = call(0, CONTROL, text, 1000, m);
-	acked = back = at();
+	acked = at();
 	note("server 0 says that it leaves: answered %d", status);
 	if (status != 200)
 		return NOT_RUN;
-	for (i = 0; i < NODES_MAX; i++)
-		kill_set[i] = 1;
 	sleep_ms(300);
-	if (rig.trouble) {
-		kill_nodes(kill_set);
-		sleep_ms(1000);
-		start_nodes(kill_set);
-		back = at();
-	}
-	sleep_until(acked + 4000);
+	if (rig.trouble)
+		kill_nodes(set);
+	sleep_ms(1000);
+	if (rig.trouble)
+		start_nodes(set);
+	back = at();
+	sleep_ms(delay);
 	status = call(0, CONTROL, beat, 1000, m);
 	note("the late announcement of server 0 arrives: answered %d", status);
 	sleep_until(acked + 10000);
@@ -1156,6 +1157,29 @@
 	return late > 0 ? BROKEN : HELD;
 }
 
+/* All nodes are killed. */
+static int
+case_left(void)
+{
+	int i, set[NODES_MAX];
+
+	rig_start(6);
+	for (i = 0; i < NODES_MAX; i++)
+		set[i] = 1;
+	return leave_and_kill(set, 2700);
+}
+
+/* One node is killed; the seed of its settings is gone since its last start. */
+static int
+case_left_one(void)
+{
+	int set[NODES_MAX] = { 1 };
+
+	rig_start(6);
+	write_settings(0, 0, 1);
+	return leave_and_kill(set, 400);
+}
+
 /* ---- 8: the nodes that read the store are cut off from it ---- */
 
 /* TRUE for the nodes that hold a read open, which are a third of all. */
@@ -1244,8 +1268,8 @@
 static const struct {
 	const char *name;
 	int (*run)(void);
-} cases[] = { { "dark", case_dark }, { "left", case_left }, { "cut", case_cut },
-	{ NULL, NULL } };
+} cases[] = { { "dark", case_dark }, { "left", case_left },
+	{ "left-one", case_left_one }, { "cut", case_cut }, { NULL, NULL } };
 
 static void
 remove_dir(void)
