--- a/review/rig2.c
+++ b/review/rig2.c
@@ -37,6 +37,7 @@
 #define SLOTS 12
 #define WORK_MS 220 /* of a request */
 #define CALLERS 4 /* of each node */
+#define PAUSE_MS 60 /* of a caller */
 #define RECORDS_MAX 256
 #define HEAD_MAX 16384
 #define BODY_MAX 262144
@@ -76,6 +77,8 @@
 
 static struct {
 	int n, net_a, net_b, trouble;
+	int work_ms, callers, pause_ms; /* callers: of each node */
+	const char *tenants; /* member of the configuration, or empty */
 	const char *program;
 	char dir[128];
 	pid_t pid[NODES_MAX];
@@ -347,7 +350,10 @@
 	if (*v != '\0')
 		return take_chunks(in, m, until);
 	field(m->head, "Content-Length", v, sizeof(v));
-	return take(in, m, strtoul(v, NULL, 10), until);
+	if (take(in, m, strtoul(v, NULL, 10), until) != 0)
+		return -1;
+	m->body[m->len] = '\0';
+	return 0;
 }
 
 static struct message *
@@ -355,7 +361,7 @@
 {
 	struct message *m = calloc(1, sizeof(*m));
 
-	m->body = malloc(BODY_MAX);
+	m->body = calloc(1, BODY_MAX + 1);
 	return m;
 }
 
@@ -379,6 +385,7 @@
 	 * keep-alive probes have found that, open connections are reset.
 	 */
 	atomic_int cut[NODES_MAX];
+	atomic_int down; /* it resets connections */
 	pthread_mutex_t lock;
 	pthread_cond_t changed;
 } store;
@@ -534,6 +541,161 @@
 	close(fd);
 }
 
+/* ---- groups of the store ---- */
+
+#define PARTS 12
+#define GROUP_ROW 64
+
+/*
+ * A group whose members hold the parts of a topic.  A part that is assigned
+ * anew is taken from its holder when that has joined with the generation of
+ * the change, or has sent nothing for its time.
+ */
+static struct {
+	long generation;
+	int n; /* members */
+	int member[NODES_MAX]; /* nodes, in the order in which they joined */
+	long long heard[NODES_MAX], ttl[NODES_MAX]; /* by node */
+	int target[PARTS], holder[PARTS]; /* nodes, -1: none */
+	long changed[PARTS]; /* generation of the change */
+	atomic_int joins[NODES_MAX]; /* answered, by node */
+} group;
+
+static void
+group_assign(void)
+{
+	int i, t;
+
+	group.generation++;
+	for (i = 0; i < PARTS; i++) {
+		t = group.n > 0 ? group.member[i % group.n] : -1;
+		if (t != group.target[i])
+			group.changed[i] = group.generation;
+		group.target[i] = t;
+	}
+}
+
+static void
+group_drop(int node)
+{
+	int i, k = 0;
+
+	for (i = 0; i < group.n; i++)
+		if (group.member[i] != node)
+			group.member[k++] = group.member[i];
+	group.n = k;
+	for (i = 0; i < PARTS; i++)
+		if (group.holder[i] == node)
+			group.holder[i] = -1;
+	group_assign();
+}
+
+static int
+group_has(int node)
+{
+	int i;
+
+	for (i = 0; i < group.n && group.member[i] != node; i++)
+		;
+	return i < group.n;
+}
+
+static void
+group_expire(void)
+{
+	int i, node;
+
+	for (i = group.n - 1; i >= 0; i--) {
+		node = group.member[i];
+		if (now_ms() - group.heard[node] > group.ttl[node])
+			group_drop(node);
+	}
+}
+
+/* The memberships have run out while the store was down. */
+static void
+group_lapse(void)
+{
+	pthread_mutex_lock(&store.lock);
+	while (group.n > 0)
+		group_drop(group.member[0]);
+	pthread_mutex_unlock(&store.lock);
+}
+
+static double
+json_number(const char *text, const char *name)
+{
+	const char *p = strstr(text, name);
+
+	p = p != NULL ? strchr(p, ':') : NULL;
+	return p != NULL ? strtod(p + 1, NULL) : 0;
+}
+
+static void
+group_join(int fd, int node, const struct message *m)
+{
+	char out[PARTS * GROUP_ROW + 64];
+	size_t len;
+	long g;
+	int i, some = 0;
+
+	pthread_mutex_lock(&store.lock);
+	group_expire();
+	g = (long)json_number(m->body, "\"generation\"");
+	group.ttl[node] = (long long)(json_number(m->body, "\"ttlS\"") * 1000);
+	group.heard[node] = now_ms();
+	if (!group_has(node)) {
+		group.member[group.n++] = node;
+		group_assign();
+	}
+	for (i = 0; i < PARTS; i++) {
+		if (group.holder[i] == node && group.target[i] != node &&
+		    g >= group.changed[i])
+			group.holder[i] = -1;
+		if (group.target[i] == node && group.holder[i] < 0)
+			group.holder[i] = node;
+	}
+	len = (size_t)sprintf(
+	    out, "{\"generation\":%ld,\"parts\":[", group.generation);
+	for (i = 0; i < PARTS; i++)
+		if (group.holder[i] == node && group.target[i] == node)
+			len += (size_t)sprintf(out + len, "%s[\"limits\",%d,0]",
+			    some++ ? "," : "", i);
+	len += (size_t)sprintf(out + len, "]}");
+	pthread_mutex_unlock(&store.lock);
+	respond(fd, 200, "Content-Type: application/json\r\n", out, len);
+	group.joins[node]++;
+}
+
+static void
+group_owners(int fd)
+{
+	char out[PARTS * GROUP_ROW + 64];
+	size_t len = (size_t)sprintf(out, "{\"parts\":[");
+	int i, some = 0;
+
+	pthread_mutex_lock(&store.lock);
+	group_expire();
+	for (i = 0; i < PARTS; i++)
+		if (group.holder[i] >= 0)
+			len += (size_t)sprintf(out + len,
+			    "%s[\"limits\",%d,\"node-%d\",0]",
+			    some++ ? "," : "", i, group.holder[i]);
+	len += (size_t)sprintf(out + len, "]}");
+	pthread_mutex_unlock(&store.lock);
+	respond(fd, 200, "Content-Type: application/json\r\n", out, len);
+}
+
+static void
+group_leave(int fd, int node)
+{
+	pthread_mutex_lock(&store.lock);
+	if (group_has(node))
+		group_drop(node);
+	pthread_mutex_unlock(&store.lock);
+	respond(fd, 200, "", "", 0);
+}
+
 struct conn {
 	int fd;
 	int node; /* whose address of the store it is */
@@ -554,6 +716,11 @@
 		lost = store.cut[c->node];
 		if (lost)
 			break;
+		if (store.down) {
+			reset(c->fd);
+			c->fd = -1;
+			break;
+		}
 		if (strstr(m->head, "/-/log-newest") != NULL)
 			store_newest(c->fd, nodes ? store.nodes : store.records,
 			    nodes ? &store.n_nodes : &store.n);
@@ -563,6 +730,12 @@
 			    nodes ? &store.n_nodes : &store.n);
 		else if (strstr(m->head, "/-/log-append") != NULL && nodes)
 			store_append(c->fd, m, store.nodes, &store.n_nodes);
+		else if (strstr(m->head, "/-/log-join") != NULL)
+			group_join(c->fd, c->node, m);
+		else if (strstr(m->head, "/-/log-owners") != NULL)
+			group_owners(c->fd);
+		else if (strstr(m->head, "/-/log-leave") != NULL)
+			group_leave(c->fd, c->node);
 		else
 			respond(c->fd, 403, "", "", 0);
 		lost = store.cut[c->node];
@@ -571,7 +744,7 @@
 		sleep_ms(20);
 	if (lost)
 		reset(c->fd);
-	else
+	else if (c->fd >= 0)
 		close(c->fd);
 	message_free(m);
 	free(in);
@@ -787,7 +960,9 @@
 	    "heartbeatS=1.5\nbounds.contactS=3\nbounds.drainS=2\n"
 	    "bounds.graceS=6\nbounds.configApplyS=2\n"
 	    "bounds.retryBudgetRatio=0.2\nbounds.budgetWindowS=10\n"
-	    "bounds.retryBudgetSlack=58\nappAddr=%s:%d\nservice=%s\n"
+	    "bounds.retryBudgetSlack=58\nbounds.quotaWindowS=5\n"
+	    "bounds.quotaOvershoot=0.1\nbounds.quotaSlack=20\nappAddr=%s:%"
+	    "d\nservice=%s\n"
 	    "platform.address=%s:%d\nplatform.form=log\nplatform.parts=12\n",
 	    i, h, zones[i % 3], h, INBOUND, h, OUTBOUND, h, READY, h, CONTROL,
 	    PORT_FIRST, PORT_LAST, seed, CONTROL, first ? "true" : "false", h,
@@ -888,6 +1063,7 @@
 static struct {
 	struct answer answer[20000];
 	atomic_int n, on, number;
+	const char *key; /* field with the key, or empty */
 } callers;
 
 static int
@@ -903,8 +1079,8 @@
 	snprintf(text, sizeof(text),
 	    "%s %s HTTP/1.1\r\nHost: mesh.example\r\n"
 	    "X-Primrosetide-Attempt-Id: %s\r\n"
-	    "X-Primrosetide-Deadline-Ms: %d\r\nContent-Length: 0\r\n\r\n",
-	    method, path, a.id, deadline_ms);
+	    "X-Primrosetide-Deadline-Ms: %d\r\n%sContent-Length: 0\r\n\r\n",
+	    method, path, a.id, deadline_ms, callers.key);
 	a.status = call(node, OUTBOUND, text, deadline_ms + 500, m);
 	a.at = at();
 	note("caller at node %d: %s %s %s answered %d", node, method, path,
@@ -924,7 +1100,7 @@
 	for (;;) {
 		if (callers.on && rig.pid[node] > 0)
 			ask(node, "GET", "/many/x", 2000);
-		sleep_ms(60);
+		sleep_ms(rig.pause_ms);
 	}
 	return NULL;
 }
@@ -953,8 +1129,8 @@
 	    "\"healthPath\",\"maxConnections\"],\"rows\":[[\"svc-a\","
 	    "\"/health\",110],[\"svc-b\",\"/health\",110]]},\"limits\":{"
 	    "\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000000,"
-	    "\"headerTimeoutS\":5,\"idleTimeoutS\":20}}",
-	    version, once, more);
+	    "\"headerTimeoutS\":5,\"idleTimeoutS\":20}%s}",
+	    version, once, more, rig.tenants);
 	note("the operator writes version %ld", version);
 	store_add(store.records, &store.n, "config", text, strlen(text));
 	note("version %ld is acknowledged", version);
@@ -998,7 +1174,7 @@
 		snprintf(s->id, sizeof(s->id), "i-%d", i);
 		s->service = i * 2 < n ? "svc-a" : "svc-b";
 		s->born = wall_ms();
-		s->work_ms = WORK_MS;
+		s->work_ms = rig.work_ms;
 		s->health = 200;
 		s->beats = 1;
 		serve_at(i, APP, s);
@@ -1017,7 +1193,7 @@
 		}
 	for (i = 0; i < n; i++) {
 		write_settings(i, 0);
-		for (k = 0; k < CALLERS; k++)
+		for (k = 0; k < rig.callers; k++)
 			spawn(caller_loop, (void *)(long)i);
 	}
 	callers.on = 1;
@@ -1249,11 +1425,110 @@
 	return refused + old > 0 ? BROKEN : HELD;
 }
 
+/* ---- 9: two owners of a limit ---- */
+
+#define RATE 60
+#define BURST 10
+#define WINDOW_MS 5000
+#define OWNER_CALLERS 24 /* more of them at the owner's node */
+#define ORGANISATION "org-a"
+#define SHARDS 24
+
+/* The part of the group's topic that the organisation belongs to. */
+static int
+part_of_organisation(void)
+{
+	const char *p;
+	unsigned h = 2166136261U;
+
+	for (p = ORGANISATION; *p != '\0'; p++)
+		h = (h ^ (unsigned char)*p) * 16777619U;
+	return (int)((h ^ h >> 16) % SHARDS % PARTS);
+}
+
+/* The most requests that were both sent and run within one window. */
+static int
+busiest_window(long long *when)
+{
+	int i, j, n, most = 0;
+
+	for (i = 0; i < runs.n; i++) {
+		n = 0;
+		for (j = 0; j < runs.n; j++)
+			n += runs.run[j].sent >= runs.run[i].sent &&
+			     runs.run[j].at <= runs.run[i].sent + WINDOW_MS;
+		if (n > most) {
+			most = n;
+			*when = runs.run[i].sent;
+		}
+	}
+	return most;
+}
+
+/*
+ * The owner of a limit is cut off from the store right after it has called it.
+ * The store is then down for a moment, in which the memberships run out.  All
+ * callers belong to one organisation and ask for more than its limit.
+ */
+static int
+case_owners(void)
+{
+	const double bound = (RATE * WINDOW_MS / 1000.0 + BURST) * 1.1 + 20;
+	int i, owner, joins, part = part_of_organisation(), most;
+	int set[NODES_MAX] = { 0 };
+	long long when = 0;
+
+	rig.tenants = ",\"tenants\":{\"columns\":[\"name\",\"apiKeys\","
+		      "\"ratePerS\",\"burstSize\",\"priority\"],\"rows\":[["
+		      "\"" ORGANISATION "\",[\"key-a\"],60,10,0]]}";
+	callers.key = "X-Primrosetide-Key: key-a\r\n";
+	rig.work_ms = 20;
+	rig.callers = 8;
+	rig.pause_ms = 30;
+	memset(group.target, -1, sizeof(group.target));
+	memset(group.holder, -1, sizeof(group.holder));
+	rig_start(6);
+	sleep_ms(9000);
+	owner = group.holder[part];
+	note("node %d owns the limit", owner);
+	if (owner < 0)
+		return NOT_RUN;
+	for (i = 0; i < OWNER_CALLERS; i++)
+		spawn(caller_loop, (void *)(long)owner);
+	sleep_ms(4000);
+	for (joins = group.joins[owner]; group.joins[owner] == joins;)
+		sleep_ms(5);
+	sleep_ms(20);
+	if (rig.trouble) {
+		set[owner] = 1;
+		cut(set, 1);
+		store.down = 1;
+		note("the store is down");
+		sleep_ms(200);
+		group_lapse();
+		store.down = 0;
+		note("the store is up, the memberships have run out");
+	}
+	sleep_ms(4000);
+	note("node %d owns the limit", group.holder[part]);
+	if (rig.trouble)
+		cut(set, 0);
+	sleep_ms(3000);
+	callers.on = 0;
+	sleep_ms(1000);
+	most = busiest_window(&when);
+	note("%d requests were sent and run within %d ms from %.3f on; the "
+	     "bound "
+	     "is %.0f",
+	    most, WINDOW_MS, (double)when / 1000, bound);
+	return most > bound ? BROKEN : HELD;
+}
+
 static const struct {
 	const char *name;
 	int (*run)(void);
 } cases[] = { { "dark", case_dark }, { "left", case_left }, { "cut", case_cut },
-	{ NULL, NULL } };
+	{ "owners", case_owners }, { NULL, NULL } };
 
 static void
 remove_dir(void)
@@ -1284,6 +1559,10 @@
 	rig.start_ms = now_ms();
 	rig.trouble = t == NULL || strcmp(t, "0") != 0;
 	rig.program = argv[2];
+	rig.work_ms = WORK_MS;
+	rig.callers = CALLERS;
+	rig.pause_ms = PAUSE_MS;
+	rig.tenants = callers.key = "";
 	rig.record = fopen(argv[3], "w");
 	snprintf(rig.dir, sizeof(rig.dir), "/tmp/rig2-XXXXXX");
 	if (rig.record == NULL || mkdtemp(rig.dir) == NULL)
