--- a/review/rig2.c
+++ b/review/rig2.c
@@ -39,6 +39,8 @@
 #define CALLERS 4 /* of each node */
 #define PAUSE_MS 60 /* of a caller */
 #define RECORDS_MAX 256
+#define ANSWERS_MAX 60000
+#define RUNS_MAX 60000
 #define HEAD_MAX 16384
 #define BODY_MAX 262144
 /* Times of the settings, in ms. */
@@ -763,7 +765,7 @@
 };
 
 static struct {
-	struct run run[20000];
+	struct run run[RUNS_MAX];
 	int n;
 } runs;
 
@@ -774,7 +776,7 @@
 	struct run *r;
 
 	pthread_mutex_lock(&rig.lock);
-	if (runs.n < (int)(sizeof(runs.run) / sizeof(runs.run[0]))) {
+	if (runs.n < RUNS_MAX) {
 		r = &runs.run[runs.n++];
 		r->at = at();
 		r->server = s->i;
@@ -1061,8 +1063,9 @@
 };
 
 static struct {
-	struct answer answer[20000];
-	atomic_int n, on, number;
+	struct answer answer[ANSWERS_MAX];
+	int n; /* answers kept, the first ones */
+	atomic_int on, number;
 	const char *key; /* field with the key, or empty */
 } callers;
 
@@ -1072,7 +1075,6 @@
 	struct message *m = message_new();
 	char text[512];
 	struct answer a = { .node = node, .sent = at() };
-	int k;
 
 	snprintf(
 	    a.id, sizeof(a.id), "%d-%d-%lld", node, ++callers.number, a.sent);
@@ -1085,9 +1087,10 @@
 	a.at = at();
 	note("caller at node %d: %s %s %s answered %d", node, method, path,
 	    a.id, a.status);
-	k = callers.n++;
-	if (k < (int)(sizeof(callers.answer) / sizeof(callers.answer[0])))
-		callers.answer[k] = a;
+	pthread_mutex_lock(&rig.lock);
+	if (callers.n < ANSWERS_MAX)
+		callers.answer[callers.n++] = a;
+	pthread_mutex_unlock(&rig.lock);
 	message_free(m);
 	return a.status;
 }
