review: BUDGET broken by a request that crashes servers, after kills

Change: a script that shows it, with servers that crash; case 6 keeps another node alive, whose turn to read the store comes later.

--- a/review/rig2.c
+++ b/review/rig2.c
@@ -38,6 +38,8 @@
 #define WORK_MS 220 /* of a request */
 #define CALLERS 4 /* of each node */
 #define PAUSE_MS 60 /* of a caller */
+#define SERVER_CONNS_MAX 256
+#define REVIVE_MS 2000 /* from a crash to the next process */
 #define RECORDS_MAX 256
 #define ANSWERS_MAX 60000
 #define RUNS_MAX 60000
@@ -69,6 +71,9 @@
 	atomic_int draining, health, beats; /* "beats": it announces itself */
 	atomic_int leaves; /* it says so in all its answers */
 	atomic_int running;
+	atomic_int down; /* it has crashed */
+	int crashes, listen_fd;
+	int fds[SERVER_CONNS_MAX], n_fds; /* open connections */
 };
 
 struct record {
@@ -81,6 +86,7 @@
 	int n, net_a, net_b, trouble;
 	int work_ms, callers, pause_ms; /* callers: of each node */
 	const char *tenants; /* member of the configuration, or empty */
+	const char *once; /* service of "/once/" in the first version */
 	const char *program;
 	char dir[128];
 	pid_t pid[NODES_MAX];
@@ -761,6 +767,7 @@
 	long long sent; /* by the caller */
 	int server, node; /* node: where it began */
 	int once; /* a POST, which must not run twice */
+	int crashed; /* the server */
 	char id[40];
 };
 
@@ -771,7 +778,7 @@
 
 /* Ids of callers: NODE-NUMBER-TIME of sending, in ms of the rig. */
 static void
-count_run(struct server *s, const char *id, int once)
+count_run(struct server *s, const char *id, int once, int crashes)
 {
 	struct run *r;
 
@@ -781,6 +788,7 @@
 		r->at = at();
 		r->server = s->i;
 		r->once = once;
+		r->crashed = crashes;
 		snprintf(r->id, sizeof(r->id), "%s", id);
 		if (sscanf(id, "%d-%*d-%lld", &r->node, &r->sent) != 2)
 			r->node = -1;
@@ -789,6 +797,74 @@
 	note("server %d (%s) runs %s", s->i, s->service, id);
 }
 
+static void serve_at(int host, int port, struct server *s);
+
+static void *
+revive(void *arg)
+{
+	struct server *s = arg;
+
+	sleep_ms(REVIVE_MS);
+	snprintf(s->id, sizeof(s->id), "i-%d-%d", s->i, s->crashes);
+	s->born = wall_ms();
+	s->sequence = 0;
+	s->down = 0;
+	serve_at(s->i, APP, s);
+	s->beats = 1;
+	note("server %d is back", s->i);
+	return NULL;
+}
+
+/* The server ends without notice, and is back after some seconds. */
+static void
+crash(struct server *s)
+{
+	struct linger l = { 1, 0 };
+	int i;
+
+	pthread_mutex_lock(&rig.lock);
+	if (s->down) {
+		pthread_mutex_unlock(&rig.lock);
+		return;
+	}
+	s->down = 1;
+	s->beats = 0;
+	s->crashes++;
+	shutdown(s->listen_fd, SHUT_RDWR);
+	close(s->listen_fd);
+	for (i = 0; i < s->n_fds; i++) {
+		setsockopt(s->fds[i], SOL_SOCKET, SO_LINGER, &l, sizeof(l));
+		shutdown(s->fds[i], SHUT_RDWR);
+	}
+	pthread_mutex_unlock(&rig.lock);
+	note("server %d crashes", s->i);
+	spawn(revive, s);
+}
+
+static void
+add_fd(struct server *s, int fd)
+{
+	pthread_mutex_lock(&rig.lock);
+	if (s->n_fds < SERVER_CONNS_MAX)
+		s->fds[s->n_fds++] = fd;
+	pthread_mutex_unlock(&rig.lock);
+}
+
+static void
+close_fd(struct server *s, int fd)
+{
+	int i;
+
+	pthread_mutex_lock(&rig.lock);
+	for (i = 0; i < s->n_fds; i++)
+		if (s->fds[i] == fd) {
+			s->fds[i] = s->fds[--s->n_fds];
+			break;
+		}
+	close(fd);
+	pthread_mutex_unlock(&rig.lock);
+}
+
 static void
 serve(struct conn *c, const struct message *m)
 {
@@ -824,7 +900,14 @@
 		respond(c->fd, 503, fields, "", 0);
 		return;
 	}
-	count_run(s, id, strncmp(m->head, "POST", 4) == 0);
+	count_run(s, id, strncmp(m->head, "POST", 4) == 0,
+	    strstr(m->head, "/poison") != NULL);
+	if (strstr(m->head, "/poison") != NULL) {
+		note("request that crashes servers: %s at server %d", id, s->i);
+		s->running--;
+		crash(s);
+		return;
+	}
 	sleep_ms(s->work_ms);
 	snprintf(body, sizeof(body), "body of %s from %s", id, s->id);
 	snprintf(fields, sizeof(fields),
@@ -843,9 +926,10 @@
 	struct message *m = message_new();
 
 	in->fd = c->fd;
-	while (read_message(in, m, now_ms() + 10000) == 0)
+	add_fd(c->server, c->fd);
+	while (read_message(in, m, now_ms() + 10000) == 0 && !c->server->down)
 		serve(c, m);
-	close(c->fd);
+	close_fd(c->server, c->fd);
 	message_free(m);
 	free(in);
 	free(c);
@@ -866,6 +950,8 @@
 
 	for (;;) {
 		fd = accept4(l->fd, NULL, NULL, SOCK_CLOEXEC);
+		if (fd < 0 && l->server != NULL && l->server->down)
+			return NULL;
 		if (fd < 0)
 			continue;
 		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
@@ -1152,6 +1238,8 @@
 		fprintf(stderr, "rig2: cannot listen\n");
 		exit(NOT_RUN);
 	}
+	if (s != NULL)
+		s->listen_fd = l->fd;
 	spawn(accept_loop, l);
 }
 
@@ -1170,7 +1258,7 @@
 	if (fd < 0)
 		exit(NOT_RUN);
 	close(fd);
-	publish("svc-b", "");
+	publish(rig.once, "");
 	for (i = 0; i < n; i++) {
 		s = &rig.server[i];
 		s->i = i;
@@ -1219,24 +1307,24 @@
 	return NULL;
 }
 
-/* A node that does not read the store, beside a server of svc-b. */
+/* A node that does not read the store, beside a server of svc-a. */
 static int
 choose_survivor(void)
 {
-	int i;
+	int i, survivor = -1;
 
-	for (i = rig.n - 1; i >= 0; i--) {
+	for (i = 0; i < rig.n; i++) {
 		note("node %d %s the store", i,
 		    store.polls[i] > 0 ? "reads" : "does not read");
-		if (store.polls[i] == 0 &&
-		    strcmp(rig.server[i].service, "svc-b") == 0)
-			return i;
+		if (survivor < 0 && store.polls[i] == 0 &&
+		    strcmp(rig.server[i].service, "svc-a") == 0)
+			survivor = i;
 	}
-	return rig.n - 1;
+	return survivor;
 }
 
 /*
- * A version moves "/once/" from svc-b to svc-a and adds "/new/".  Counts the
+ * A version moves "/once/" from svc-a to svc-b and adds "/new/".  Counts the
  * requests of one node that was not touched that are handled as only the older
  * version allows.
  */
@@ -1248,14 +1336,17 @@
 	const struct run *r;
 	long long acked;
 
+	rig.once = "svc-a";
 	rig_start(11);
 	sleep_ms(5000);
 	survivor = choose_survivor();
+	if (survivor < 0)
+		return NOT_RUN;
 	for (i = 0; i < rig.n; i++)
 		kill_set[i] = i != survivor;
 	if (rig.trouble)
 		kill_nodes(kill_set);
-	publish("svc-a",
+	publish("svc-b",
 	    ",[\"new\",\"mesh.example\",\"/new/\",\"idempotent\",2,0.5,0,"
 	    "\"svc-a\",2]");
 	acked = at();
@@ -1276,7 +1367,7 @@
 		r = &runs.run[i];
 		old += r->node == survivor && r->once &&
 		       r->sent > acked + APPLY_MS + SLACK_MS &&
-		       strcmp(rig.server[r->server].service, "svc-b") == 0;
+		       strcmp(rig.server[r->server].service, "svc-a") == 0;
 	}
 	note("sent at node %d later than %d ms after the acknowledgement: "
 	     "%d refused with 404, %d run by the old service",
@@ -1527,11 +1618,80 @@
 	return most > bound ? BROKEN : HELD;
 }
 
+/* ---- 10: a request that crashes servers ---- */
+
+#define KILLS 3
+#define ROUNDS 4
+
+static void *
+poison_once(void *arg)
+{
+	ask((int)(long)arg, "GET", "/many/poison", 1500);
+	return NULL;
+}
+
+/* The request comes at three nodes, whose callers are of one service. */
+static void
+poison_rounds(void)
+{
+	int i, k;
+
+	for (k = 0; k < ROUNDS; k++) {
+		for (i = 3; i < 6; i++)
+			spawn(poison_once, (void *)(long)i);
+		sleep_ms(1500);
+	}
+}
+
+/*
+ * A request crashes each server that runs it, and comes again.  Meanwhile all
+ * nodes are killed twice.  Counts its arrivals that were sent later than
+ * allowed and by nodes in touch: the rounds begin that long after the nodes are
+ * back.
+ */
+static int
+case_poison(void)
+{
+	int i, k, set[NODES_MAX], crashes = 0, late = 0;
+	const struct run *r;
+	long long third = 0;
+
+	rig_start(6);
+	for (i = 0; i < NODES_MAX; i++)
+		set[i] = 1;
+	sleep_ms(3000);
+	poison_rounds();
+	for (k = 0; k < KILLS; k++) {
+		if (rig.trouble)
+			kill_nodes(set);
+		sleep_ms(1000);
+		if (rig.trouble)
+			start_nodes(set);
+		sleep_ms(CONTACT_MS + SLACK_MS);
+		poison_rounds();
+	}
+	callers.on = 0;
+	sleep_ms(2000);
+	for (i = 0; i < runs.n; i++) {
+		r = &runs.run[i];
+		if (!r->crashed)
+			continue;
+		crashes++;
+		if (crashes == 3)
+			third = r->at;
+		late += crashes > 3 && r->sent > third + CONTACT_MS;
+	}
+	note("the request reached servers %d times, %d of them sent later than "
+	     "%d ms after the third",
+	    crashes, late, CONTACT_MS);
+	return late > 3 ? BROKEN : HELD;
+}
+
 static const struct {
 	const char *name;
 	int (*run)(void);
 } cases[] = { { "dark", case_dark }, { "left", case_left }, { "cut", case_cut },
-	{ "owners", case_owners }, { NULL, NULL } };
+	{ "owners", case_owners }, { "poison", case_poison }, { NULL, NULL } };
 
 static void
 remove_dir(void)
@@ -1566,6 +1726,7 @@
 	rig.callers = CALLERS;
 	rig.pause_ms = PAUSE_MS;
 	rig.tenants = callers.key = "";
+	rig.once = "svc-b";
 	rig.record = fopen(argv[3], "w");
 	snprintf(rig.dir, sizeof(rig.dir), "/tmp/rig2-XXXXXX");
 	if (rig.record == NULL || mkdtemp(rig.dir) == NULL)
