--- a/review/rig2.c
+++ b/review/rig2.c
@@ -1062,6 +1062,7 @@
 node_start(int i)
 {
 	char path[256], log[256];
+	sigset_t none;
 	pid_t pid;
 
 	snprintf(path, sizeof(path), "%s/%d.conf", rig.dir, i);
@@ -1071,6 +1072,8 @@
 		exit(NOT_RUN);
 	if (pid == 0) {
 		prctl(PR_SET_PDEATHSIG, SIGKILL);
+		sigemptyset(&none);
+		sigprocmask(SIG_SETMASK, &none, NULL);
 		setenv("PRIMROSETIDE_BOOT", path, 1);
 		if (freopen(log, "a", stdout) == NULL)
 			_exit(127);
@@ -1140,6 +1143,56 @@
 		}
 }
 
+static void
+remove_dir(void)
+{
+	char path[256];
+	int i;
+
+	for (i = 0; i < rig.n; i++) {
+		snprintf(path, sizeof(path), "%s/%d.conf", rig.dir, i);
+		unlink(path);
+		snprintf(path, sizeof(path), "%s/%d.log", rig.dir, i);
+		unlink(path);
+	}
+	rmdir(rig.dir);
+}
+
+/* Every way out ends the nodes by their ids. */
+static void
+clean_up(void)
+{
+	end_nodes();
+	if (getenv("KEEP_LOGS") == NULL)
+		remove_dir();
+}
+
+/* Ends the script when it is told to stop. */
+static void *
+wait_for_signal(void *arg)
+{
+	const sigset_t *set = arg;
+	int sig;
+
+	sigwait(set, &sig);
+	clean_up();
+	_exit(NOT_RUN);
+}
+
+/* The threads inherit the mask, so that only one of them gets the signals. */
+static void
+catch_signals(void)
+{
+	static sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+	spawn(wait_for_signal, &set);
+}
+
 /* ---- callers ---- */
 
 struct answer {
@@ -1693,21 +1746,6 @@
 } cases[] = { { "dark", case_dark }, { "left", case_left }, { "cut", case_cut },
 	{ "owners", case_owners }, { "poison", case_poison }, { NULL, NULL } };
 
-static void
-remove_dir(void)
-{
-	char path[256];
-	int i;
-
-	for (i = 0; i < rig.n; i++) {
-		snprintf(path, sizeof(path), "%s/%d.conf", rig.dir, i);
-		unlink(path);
-		snprintf(path, sizeof(path), "%s/%d.log", rig.dir, i);
-		unlink(path);
-	}
-	rmdir(rig.dir);
-}
-
 int
 main(int argc, char **argv)
 {
@@ -1731,6 +1769,8 @@
 	snprintf(rig.dir, sizeof(rig.dir), "/tmp/rig2-XXXXXX");
 	if (rig.record == NULL || mkdtemp(rig.dir) == NULL)
 		return NOT_RUN;
+	atexit(clean_up);
+	catch_signals();
 	pthread_mutex_init(&rig.lock, NULL);
 	pthread_mutex_init(&store.lock, NULL);
 	pthread_cond_init(&store.changed, NULL);
@@ -1738,8 +1778,6 @@
 		if (strcmp(cases[i].name, argv[1]) == 0)
 			code = cases[i].run();
 	end_nodes();
-	if (getenv("KEEP_LOGS") == NULL)
-		remove_dir();
 	note("%s", code == HELD	    ? "held"
 		   : code == BROKEN ? "broken"
 				    : "not run");
