h1: the status line is compared as unsigned bytes

The expected byte is a guchar now, like the byte that it is compared with; both are ASCII, so nothing else changes.

--- a/adapter/h1/check.c
+++ b/adapter/h1/check.c
@@ -114,7 +114,7 @@
 static enum h1_fault
 on_status(struct h1_check *k, guchar b)
 {
-	char want = status_line[k->at];
+	guchar want = status_line[k->at];
 
 	if (want == '\0') {
 		if (b != ' ' && b != '\r' && b != '\n')
