h1: connect to IPv6 addresses, too

h1_connect() always opened an IPv4 socket, so a connection to an IPv6 address failed as if it had been refused, though httpio_backend_new() takes such an address. The socket has the family of the address now.

--- a/adapter/h1/conn.c
+++ b/adapter/h1/conn.c
@@ -528,31 +528,33 @@
 h1_connect(
     const char *host, guint port, guint connect_ms, const struct h1_opts *o)
 {
-	GSocketAddress *a;
+	GSocketAddress *a = rpcio_address(host, port, NULL);
 	GError *err = NULL;
 	struct h1_conn *c;
-	GSocket *s;
+	GSocket *s = NULL;
 
-	s = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
-	    G_SOCKET_PROTOCOL_TCP, &err);
+	if (a != NULL)
+		s = g_socket_new(g_socket_address_get_family(a),
+		    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, NULL);
 	c = conn_new(s, FALSE, o);
 	c->connecting = TRUE;
 	c->remote = g_strdup_printf("%s:%u", host, port);
 	if (s == NULL) {
-		/* No descriptor is left: on_timer() reports the failure. */
-		g_error_free(err);
+		/*
+		 * Not an address, or no descriptor is left: on_timer() reports
+		 * the failure.
+		 */
 		set_timer(c, 0);
+		g_clear_object(&a);
 		return c;
 	}
 	set_keepalive(s);
 	set_timer(c, (gint64)connect_ms * G_TIME_SPAN_MILLISECOND);
-	a = rpcio_address(host, port, &err);
-	if (a == NULL ||
-	    (!g_socket_connect(s, a, NULL, &err) &&
-		!g_error_matches(err, G_IO_ERROR, G_IO_ERROR_PENDING)))
+	if (!g_socket_connect(s, a, NULL, &err) &&
+	    !g_error_matches(err, G_IO_ERROR, G_IO_ERROR_PENDING))
 		set_timer(c, 0);
 	g_clear_error(&err);
-	g_clear_object(&a);
+	g_object_unref(a);
 	/* Last, since a descriptor polls as hung up before the connect. */
 	conn_watch(c, G_IO_OUT);
 	return c;
