ptnode: a response of the log that is none is no answer

Cause: the client of the log was the last reader of responses on libsoup, which passes over field lines that are none, two lengths that contradict each other and unknown transfer encodings. A 200 with such a head gave an offset, so that the operator was told that a change is accepted; a 503, 429 or 413 said that it is not. A whole response before a reset, while the record was still being written, was lost.

Change: the client uses the connections of httpio_backend on adapter/h1, with the checks of adapter/h1/check.c. An append has a connection of its own and is sent once; a read is repeated on a new connection if a kept one was closed.

--- a/adapter/httpio/backend.c
+++ b/adapter/httpio/backend.c
@@ -1,4 +1,7 @@
-/* Calls to the backend server, through the connection pool of adapter/h1. */
+/*
+ * Calls to the backend server, or to another one, through the connection pool
+ * of adapter/h1.
+ */
 #include <gio/gio.h>
 #include <rpc/rpc.h>
 #include <string.h>
@@ -24,6 +27,7 @@
 struct httpio_backend {
 	guint refs; /* the owner's, and one for each fetch */
 	struct h1_pool *pool; /* NULL: released by the owner */
+	const char *name; /* of the server in errors */
 	char *host; /* value of the Host header field */
 	char *address;
 	guint port;
@@ -64,9 +68,9 @@
 	    g_uri_get_host(u) == NULL ||
 	    !g_hostname_is_ip_address(g_uri_get_host(u))) {
 		g_set_error(err, PT_ERROR, PT_ERROR_SETTING,
-		    "backend URL is \"%s\"; give http://ADDRESS:PORT with a "
+		    "%s is \"%s\"; give http://ADDRESS:PORT with a "
 		    "numeric address",
-		    o->url);
+		    o->url_name, o->url);
 		g_clear_pointer(&u, g_uri_unref);
 		return NULL;
 	}
@@ -75,7 +79,10 @@
 	po.port = g_uri_get_port(u) > 0 ? (guint)g_uri_get_port(u) : HTTP_PORT;
 	po.conns = b->conns = MAX(o->conns, 1);
 	b->refs = 1;
-	b->host = g_strdup_printf("%s:%u", po.host, po.port);
+	b->name = o->name;
+	b->host =
+	    g_strdup_printf(strchr(po.host, ':') != NULL ? "[%s]:%u" : "%s:%u",
+		po.host, po.port);
 	b->address = g_strdup(po.host);
 	b->port = po.port;
 	b->pool = h1_pool_new(&po);
@@ -279,10 +286,9 @@
 fail_head(struct httpio_fetch *f, enum pt_error code, const char *why)
 {
 	GError *err = g_error_new(PT_ERROR, (gint)code,
-	    code == PT_ERROR_UNREACHABLE
-		? "backend server: %s; the request was not sent"
-		: "backend server: %s after the request was sent",
-	    why);
+	    code == PT_ERROR_UNREACHABLE ? "%s: %s; the request was not sent"
+					 : "%s: %s after the request was sent",
+	    f->backend->name, why);
 
 	f->head_cb(f->arg, NULL, err);
 	g_error_free(err);
@@ -317,7 +323,7 @@
 		return;
 	}
 	f->err = g_error_new(PT_ERROR, PT_ERROR_UNKNOWN,
-	    "backend server: %s after the request was sent", why);
+	    "%s: %s after the request was sent", f->backend->name, why);
 	if (f->body_cb != NULL)
 		deliver(f);
 }
--- a/adapter/httpio/httpio.h
+++ b/adapter/httpio/httpio.h
@@ -1,13 +1,13 @@
 /*
- * HTTP client of the log on libsoup; HTTP/1.1 server and client of the backend
- * server on h1.  Include <glib.h>, <rpc/rpc.h> and "port.h" before this header.
+ * HTTP/1.1 on h1: client of the log, server, and client of the backend server.
+ * Include <glib.h>, <rpc/rpc.h> and "port.h" before this header.
  */
 
 /* Client of the platform's log. */
 struct httpio_log;
 
 struct httpio_log_opts {
-	const char *base; /* URL without path: http://127.0.0.1:8600 */
+	const char *base; /* URL with a numeric address */
 	guint timeout_ms; /* of an append; for a read, its wait is added */
 };
 
@@ -126,7 +126,9 @@
 
 struct httpio_backend_opts {
 	const char *url; /* http://ADDRESS:PORT */
-	guint conns; /* connection limit of the backend server */
+	const char *url_name; /* in errors: "setting log-url" */
+	const char *name; /* of the server in errors; not copied */
+	guint conns; /* connection limit of the server */
 };
 
 struct httpio_backend;
--- a/adapter/httpio/log.c
+++ b/adapter/httpio/log.c
@@ -1,11 +1,10 @@
 /* Client of the platform's log: appends and long polls over HTTP. */
 
-#include <glib.h>
+#include <gio/gio.h>
 #include <json-glib/json-glib.h>
-#include <sys/queue.h>
-#include <libsoup/soup.h>
 #include <rpc/rpc.h>
 #include <string.h>
+#include <sys/queue.h>
 
 #include "pt.h"
 #include "port.h"
@@ -15,133 +14,87 @@
 /* Size limit of a response; a batch of the log is at most 4 MB. */
 #define RESPONSE_MAX (8 << 20)
 
-/* Status of RFC 6585, which libsoup 3.2 does not define. */
-#define TOO_MANY_REQUESTS 429
-
 /* Long polls of several streams and appends run concurrently. */
 #define CONNECTIONS 16
 
+#define STATUS_OK 200
+#define STATUS_TOO_LARGE 413
+#define STATUS_RANGE 416 /* a read below the oldest offset */
+#define STATUS_TOO_MANY 429
+#define STATUS_UNAVAILABLE 503
+
 struct request {
 	TAILQ_ENTRY(request) link;
-	struct httpio_log *log; /* NULL after httpio_log_free() */
-	SoupMessage *msg;
-	GCancellable *cancel;
+	struct httpio_log *log;
+	struct httpio_fetch *fetch;
+	GByteArray *body;
 	guint timer;
-	gboolean timed_out;
-	gboolean too_large;
+	int status;
 	pt_append_cb append_cb; /* either this or read_cb */
 	pt_read_cb read_cb;
 	void *arg;
 };
 
 struct httpio_log {
-	char *base;
+	char *base; /* of the URL, without a slash at its end */
+	char *path; /* of the URL, without a slash at its end */
 	guint timeout_ms;
-	SoupSession *session;
+	struct httpio_backend *server;
 	struct httpio_log_stats stats;
 	TAILQ_HEAD(requests, request) requests;
 };
 
+/* Takes the request out of the log: no callback follows. */
 static void
-request_end(struct request *r)
+request_remove(struct request *r)
 {
+	TAILQ_REMOVE(&r->log->requests, r, link);
 	sys_cancel(&r->timer);
-	if (r->log != NULL)
-		TAILQ_REMOVE(&r->log->requests, r, link);
-	g_signal_handlers_disconnect_by_data(r->msg, r);
-	g_object_unref(r->msg);
-	g_object_unref(r->cancel);
-	g_free(r);
 }
 
 static void
-on_timeout(void *arg)
-{
-	struct request *r = arg;
-
-	r->timer = 0;
-	r->timed_out = TRUE;
-	g_cancellable_cancel(r->cancel);
-}
-
-static void
-got_headers(SoupMessage *m, gpointer p)
-{
-	SoupMessageHeaders *h = soup_message_get_response_headers(m);
-	struct request *r = p;
-
-	if (soup_message_headers_get_encoding(h) ==
-		SOUP_ENCODING_CONTENT_LENGTH &&
-	    soup_message_headers_get_content_length(h) <= RESPONSE_MAX)
-		return;
-	r->too_large = TRUE;
-	g_cancellable_cancel(r->cancel);
-}
-
-/* True if the error proves that the request did not reach the log. */
-static gboolean
-not_sent(const GError *e)
+request_free(struct request *r)
 {
-	static const int codes[] = { G_IO_ERROR_CONNECTION_REFUSED,
-		G_IO_ERROR_HOST_UNREACHABLE, G_IO_ERROR_NETWORK_UNREACHABLE,
-		G_IO_ERROR_HOST_NOT_FOUND };
-	guint i;
-
-	if (e->domain == G_RESOLVER_ERROR)
-		return TRUE;
-	for (i = 0; i < G_N_ELEMENTS(codes); i++)
-		if (g_error_matches(e, G_IO_ERROR, codes[i]))
-			return TRUE;
-	return FALSE;
+	g_byte_array_unref(r->body);
+	g_free(r);
 }
 
-/* Error of a request without a usable response, else NULL. */
+/* Error of a response that is not a success, else NULL. */
 static GError *
-request_error(const struct request *r, const GError *e)
+status_error(const struct request *r)
 {
-	guint status = soup_message_get_status(r->msg);
 	const char *base = r->log->base;
 
-	if (r->too_large)
-		return g_error_new(PT_ERROR, PT_ERROR_UNKNOWN,
-		    "the log at %s gave an answer larger than %d bytes or of "
-		    "no stated length",
-		    base, RESPONSE_MAX);
-	if (r->timed_out)
-		return g_error_new(PT_ERROR, PT_ERROR_UNKNOWN,
-		    "the log at %s did not answer in time", base);
-	if (e != NULL)
-		return g_error_new(PT_ERROR,
-		    not_sent(e) ? PT_ERROR_UNREACHABLE : PT_ERROR_UNKNOWN,
-		    "the log at %s gave no answer: %s", base, e->message);
-	if (status == TOO_MANY_REQUESTS ||
-	    status == SOUP_STATUS_SERVICE_UNAVAILABLE)
+	switch (r->status) {
+	case STATUS_OK:
+	case STATUS_RANGE:
+		return NULL;
+	case STATUS_TOO_MANY:
+	case STATUS_UNAVAILABLE:
 		return g_error_new(PT_ERROR, PT_ERROR_UNREACHABLE,
-		    "the log at %s refused the request with %u; retry later",
-		    base, status);
-	if (status == SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE)
+		    "the log at %s refused the request with %d; retry later",
+		    base, r->status);
+	case STATUS_TOO_LARGE:
 		return g_error_new(PT_ERROR, PT_ERROR_TOO_LARGE,
 		    "the log at %s refused the record as too large; split it",
 		    base);
-	if (status == 200 ||
-	    status == SOUP_STATUS_REQUESTED_RANGE_NOT_SATISFIABLE)
-		return NULL;
-	return g_error_new(PT_ERROR, PT_ERROR_UNKNOWN,
-	    "the log at %s answered with status %u", base, status);
+	default:
+		return g_error_new(PT_ERROR, PT_ERROR_UNKNOWN,
+		    "the log at %s answered with status %d", base, r->status);
+	}
 }
 
 /* Offset in the response {"offset":N}, 0 if absent. */
 static gint64
-parse_offset(GBytes *b)
+parse_offset(const GByteArray *b)
 {
 	JsonParser *p = json_parser_new();
 	JsonNode *n;
 	gint64 off = 0;
-	gsize len;
-	const char *s = g_bytes_get_data(b, &len);
+	const char *s = (const char *)b->data;
 
-	if (s != NULL && !pt_json_too_deep(s, len) &&
-	    json_parser_load_from_data(p, s, len, NULL)) {
+	if (b->len > 0 && !pt_json_too_deep(s, b->len) &&
+	    json_parser_load_from_data(p, s, b->len, NULL)) {
 		n = json_parser_get_root(p);
 		if (n != NULL && JSON_NODE_HOLDS_OBJECT(n))
 			off = json_object_get_int_member_with_default(
@@ -152,12 +105,12 @@
 }
 
 static void
-append_done(struct request *r, GBytes *b, GError *err)
+append_done(struct request *r, GError *err)
 {
 	gint64 off = 0;
 
 	if (err == NULL) {
-		off = parse_offset(b);
+		off = parse_offset(r->body);
 		if (off <= 0)
 			err = g_error_new(PT_ERROR, PT_ERROR_UNKNOWN,
 			    "the log at %s answered without an offset",
@@ -207,16 +160,13 @@
 }
 
 static void
-read_done(struct request *r, GBytes *b, GError *err)
+read_done(struct request *r, GError *err)
 {
 	struct pt_log_batch x = { 0 };
-	const void *p;
-	gsize n;
 
 	if (err == NULL) {
-		p = g_bytes_get_data(b, &n);
-		if (pt_decode(
-			(xdrproc_t)xdr_pt_log_batch, &x, sizeof(x), p, n) &&
+		if (pt_decode((xdrproc_t)xdr_pt_log_batch, &x, sizeof(x),
+			r->body->data, r->body->len) &&
 		    batch_ok(&x))
 			deliver_batch(r, &x);
 		else
@@ -230,71 +180,128 @@
 	g_clear_error(&err);
 }
 
+/* Calls back and frees the request; takes the error, NULL: a response. */
 static void
-done(GObject *o, GAsyncResult *res, gpointer p)
+request_end(struct request *r, GError *err)
 {
-	struct request *r = p;
-	GError *e = NULL, *err;
-	GBytes *b;
-
-	b = soup_session_send_and_read_finish(SOUP_SESSION(o), res, &e);
-	if (r->log != NULL) {
-		/* Removed first, since the callback may free the log. */
-		TAILQ_REMOVE(&r->log->requests, r, link);
-		if (b != NULL)
-			r->log->stats.received += g_bytes_get_size(b);
-		err = request_error(r, e);
-		if (r->append_cb != NULL)
-			append_done(r, b, err);
-		else
-			read_done(r, b, err);
-		r->log = NULL;
+	struct httpio_log *l = r->log;
+
+	/* Removed first, since the callback may free the log. */
+	request_remove(r);
+	l->stats.received += r->body->len;
+	if (err == NULL)
+		err = status_error(r);
+	if (r->append_cb != NULL)
+		append_done(r, err);
+	else
+		read_done(r, err);
+	request_free(r);
+}
+
+/* Cancels the request, whose outcome is unknown. */
+static void
+request_give_up(struct request *r, GError *err)
+{
+	httpio_fetch_cancel(r->fetch);
+	request_end(r, err);
+}
+
+static void
+on_timeout(void *arg)
+{
+	struct request *r = arg;
+
+	r->timer = 0;
+	request_give_up(
+	    r, g_error_new(PT_ERROR, PT_ERROR_UNKNOWN,
+		   "the log at %s did not answer in time", r->log->base));
+}
+
+/* The fetch has ended without a whole response. */
+static void
+on_failed(struct request *r, const GError *e)
+{
+	request_end(r,
+	    g_error_new(PT_ERROR, e->code, "the log at %s gave no answer: %s",
+		r->log->base, e->message));
+}
+
+static void
+on_body(void *arg, const char *data, gsize len, gboolean more, const GError *e)
+{
+	struct request *r = arg;
+
+	if (e != NULL) {
+		on_failed(r, e);
+		return;
+	}
+	g_byte_array_append(r->body, (const guint8 *)data, (guint)len);
+	if (more)
+		httpio_fetch_read(r->fetch, on_body, r);
+	else
+		request_end(r, NULL);
+}
+
+static void
+on_head(void *arg, const struct httpio_response *a, const GError *e)
+{
+	struct request *r = arg;
+
+	if (e != NULL) {
+		on_failed(r, e);
+		return;
 	}
-	g_clear_error(&e);
-	if (b != NULL)
-		g_bytes_unref(b);
-	request_end(r);
+	r->status = a->status;
+	if (a->length < 0 || a->length > RESPONSE_MAX)
+		request_give_up(r,
+		    g_error_new(PT_ERROR, PT_ERROR_UNKNOWN,
+			"the log at %s gave an answer larger than %d bytes or "
+			"of no stated length",
+			r->log->base, RESPONSE_MAX));
+	else
+		httpio_fetch_read(r->fetch, on_body, r);
 }
 
 static struct request *
-request_new(struct httpio_log *l, const char *method, char *url)
+request_new(struct httpio_log *l, void *arg)
 {
-	struct request *r;
+	struct request *r = g_new0(struct request, 1);
 
-	r = g_new0(struct request, 1);
 	r->log = l;
-	r->msg = soup_message_new(method, url);
-	r->cancel = g_cancellable_new();
-	g_free(url);
-	g_signal_connect(r->msg, "got-headers", G_CALLBACK(got_headers), r);
+	r->body = g_byte_array_new();
+	r->arg = arg;
 	TAILQ_INSERT_TAIL(&l->requests, r, link);
 	return r;
 }
 
 static void
-request_send(struct request *r, gint64 timeout_ms)
+request_send(struct request *r, const struct httpio_call *c, gint64 timeout_ms)
 {
 	r->log->stats.requests++;
-	r->timer = sys_after(timeout_ms * 1000, on_timeout, r);
-	soup_session_send_and_read_async(
-	    r->log->session, r->msg, G_PRIORITY_DEFAULT, r->cancel, done, r);
+	r->timer =
+	    sys_after(timeout_ms * G_TIME_SPAN_MILLISECOND, on_timeout, r);
+	r->fetch = httpio_fetch(r->log->server, c, on_head, r);
 }
 
 static void
 log_append(
     void *ctx, const char *stream, GBytes *record, pt_append_cb cb, void *arg)
 {
+	static const struct httpio_header type = { "Content-Type",
+		"application/octet-stream" };
 	struct httpio_log *l = ctx;
-	struct request *r;
-
-	r = request_new(
-	    l, "POST", g_strdup_printf("%s/v1/streams/%s", l->base, stream));
+	struct httpio_call c = {
+		.method = "POST", .headers = &type, .n_headers = 1, .once = TRUE
+	};
+	struct request *r = request_new(l, arg);
+	char *path = g_strdup_printf("%s/v1/streams/%s", l->path, stream);
+
+	c.path = path;
+	c.body = g_bytes_get_data(record, &c.body_len);
 	r->append_cb = cb;
-	r->arg = arg;
-	soup_message_set_request_body_from_bytes(
-	    r->msg, "application/octet-stream", record);
-	l->stats.sent += g_bytes_get_size(record);
-	request_send(r, l->timeout_ms);
+	l->stats.sent += c.body_len;
+	request_send(r, &c, l->timeout_ms);
+	g_free(path);
 }
 
 static void
@@ -302,42 +309,50 @@
     pt_read_cb cb, void *arg)
 {
 	struct httpio_log *l = ctx;
-	struct request *r;
+	struct httpio_call c = { .method = "GET" };
+	struct request *r = request_new(l, arg);
+	char *path = g_strdup_printf("%s/v1/streams/%s?from=%" G_GINT64_FORMAT
+				     "&max=%u&wait_ms=%u",
+	    l->path, stream, from, max, wait_ms);
 
-	r = request_new(l, "GET",
-	    g_strdup_printf("%s/v1/streams/%s?from=%" G_GINT64_FORMAT
-			    "&max=%u&wait_ms=%u",
-		l->base, stream, from, max, wait_ms));
+	c.path = path;
 	r->read_cb = cb;
-	r->arg = arg;
-	request_send(r, (gint64)l->timeout_ms + wait_ms);
+	request_send(r, &c, (gint64)l->timeout_ms + wait_ms);
+	g_free(path);
+}
+
+/* A copy without slashes at its end. */
+static char *
+without_slash(const char *s)
+{
+	gsize n = strlen(s);
+
+	while (n > 0 && s[n - 1] == '/')
+		n--;
+	return g_strndup(s, n);
 }
 
 struct httpio_log *
 httpio_log_new(const struct httpio_log_opts *o, GError **err)
 {
+	struct httpio_backend_opts so = { .url = o->base,
+		.conns = CONNECTIONS,
+		.url_name = "setting log-url",
+		.name = "log" };
+	struct httpio_backend *server = httpio_backend_new(&so, err);
 	struct httpio_log *l;
 	GUri *u;
 
-	u = g_uri_parse(o->base, G_URI_FLAGS_NONE, NULL);
-	if (u == NULL || strcmp(g_uri_get_scheme(u), "http") != 0 ||
-	    g_uri_get_host(u) == NULL) {
-		g_set_error(err, PT_ERROR, PT_ERROR_SETTING,
-		    "setting log-url is \"%s\"; give a URL like "
-		    "http://127.0.0.1:8600",
-		    o->base);
-		g_clear_pointer(&u, g_uri_unref);
+	if (server == NULL)
 		return NULL;
-	}
-	g_uri_unref(u);
+	u = g_uri_parse(o->base, G_URI_FLAGS_NONE, NULL);
 	l = g_new0(struct httpio_log, 1);
-	l->base = g_strdup(o->base);
-	while (g_str_has_suffix(l->base, "/"))
-		l->base[strlen(l->base) - 1] = '\0';
+	l->base = without_slash(o->base);
+	l->path = without_slash(g_uri_get_path(u));
 	l->timeout_ms = o->timeout_ms;
-	l->session = soup_session_new_with_options(
-	    "max-conns", CONNECTIONS, "max-conns-per-host", CONNECTIONS, NULL);
+	l->server = server;
 	TAILQ_INIT(&l->requests);
+	g_uri_unref(u);
 	return l;
 }
 
@@ -346,13 +361,15 @@
 {
 	struct request *r;
 
-	while ((r = TAILQ_FIRST(&l->requests)) != NULL) {
-		TAILQ_REMOVE(&l->requests, r, link);
-		r->log = NULL;
-		g_cancellable_cancel(r->cancel);
+	/* The newest first: the end of a call starts one that waits. */
+	while ((r = TAILQ_LAST(&l->requests, requests)) != NULL) {
+		httpio_fetch_cancel(r->fetch);
+		request_remove(r);
+		request_free(r);
 	}
-	g_object_unref(l->session);
+	httpio_backend_free(l->server);
 	g_free(l->base);
+	g_free(l->path);
 	g_free(l);
 }
 
--- a/cmd/ptnode/upstream.c
+++ b/cmd/ptnode/upstream.c
@@ -740,7 +740,10 @@
 update_backend(struct upstream *u)
 {
 	const struct backend *b = &u->node->backend;
-	struct httpio_backend_opts o = { b->url, (guint)b->connections };
+	struct httpio_backend_opts o = { .url = b->url,
+		.url_name = "backend URL",
+		.name = "backend server",
+		.conns = (guint)b->connections };
 	GError *err = NULL;
 
 	if (g_strcmp0(u->url, b->url) == 0 && u->conns == b->connections)
--- a/test/cli_test.sh
+++ b/test/cli_test.sh
@@ -156,6 +156,8 @@
 	fails "" "ptback --announce=$v" "setting announce is \"$v\"" http://ADDRESS:PORT
 	fails "" "ptload --url=$v $kind" "setting url is \"$v\"" http://ADDRESS:PORT
 done
+fails "" "$node --log-url=http://localhost:1" \
+    'setting log-url is "http://localhost:1"' "numeric address"
 for v in 127.0.0.1 127.0.0.1:7400 127.0.0.1:0:1 127.0.0.1:1:65536 a:1:1; do
 	fails "" "$node --seed=$v" "setting seed is \"$v\"" \
 	    ADDRESS:RPC_PORT:GOSSIP_PORT "1 to 65535"
--- a/test/httpio_test.c
+++ b/test/httpio_test.c
@@ -52,7 +52,9 @@
 	struct httpio_server_opts so = {
 		.host = HOST, .body_max = BODY_MAX, .request = on_request
 	};
-	struct httpio_backend_opts bo = { .conns = CONNS };
+	struct httpio_backend_opts bo = { .url_name = "backend URL",
+		.name = "backend server",
+		.conns = CONNS };
 	char *url;
 
 	memset(&t, 0, sizeof(t));
