ptproxy: a first request is answered by a stopping node

Change: a connection without a request is closed 200 ms after it was opened at the earliest, and the process waits for it that long. An idle connection is closed without reading on, unless output is still queued.

--- a/cmd/ptproxy/ingress.c
+++ b/cmd/ptproxy/ingress.c
@@ -26,6 +26,8 @@
 #define HEAD_US (5 * G_TIME_SPAN_SECOND)
 /* Time-out of an idle connection if no configuration sets it. */
 #define IDLE_US (60 * G_TIME_SPAN_SECOND)
+/* Time in which the first request of a new connection arrives. */
+#define FIRST_REQUEST_US (200 * G_TIME_SPAN_MILLISECOND)
 
 /* A connection of a caller, and the request on it. */
 struct caller_conn {
@@ -35,6 +37,7 @@
 	struct request *request;
 	gboolean complete; /* the request has been read completely */
 	guint n_requests; /* begun on this connection */
+	gint64 accepted_at;
 	gboolean keep; /* the caller keeps the connection open */
 };
 
@@ -210,6 +213,7 @@
 	}
 	c->ingress = in;
 	c->conn = h1_accept(sock, &o);
+	c->accepted_at = pt_now(&in->proxy->clock);
 	LIST_INSERT_HEAD(&in->conns, c, entry);
 }
 
@@ -292,6 +296,41 @@
 	}
 }
 
+/* TRUE: the first request of the connection is probably on its way. */
+static gboolean
+awaited(const struct caller_conn *c)
+{
+	return c->n_requests == 0 &&
+	       pt_now(&c->ingress->proxy->clock) - c->accepted_at <
+		   FIRST_REQUEST_US;
+}
+
+guint
+ingress_awaited(const struct ingress *in)
+{
+	const struct caller_conn *c;
+	guint n = 0;
+
+	LIST_FOREACH(c, &in->conns, entry)
+	n += awaited(c);
+	return n;
+}
+
+/*
+ * Closes without reading on, unless a response is still to be sent: callers may
+ * repeat a request that crosses the close only if it was not read.
+ */
+static void
+close_idle(struct caller_conn *c)
+{
+	LIST_REMOVE(c, entry);
+	if (h1_queued(c->conn) > 0)
+		h1_finish(c->conn);
+	else
+		h1_free(c->conn);
+	g_free(c);
+}
+
 void
 ingress_close_idle(struct ingress *in)
 {
@@ -300,11 +339,8 @@
 	for (c = LIST_FIRST(&in->conns); c != NULL; c = next) {
 		next = LIST_NEXT(c, entry);
 		if (c->request == NULL && h1_idle(c->conn) &&
-		    !h1_unread(c->conn)) {
-			LIST_REMOVE(c, entry);
-			h1_finish(c->conn);
-			g_free(c);
-		}
+		    !h1_unread(c->conn) && !awaited(c))
+			close_idle(c);
 	}
 }
 
--- a/cmd/ptproxy/proxy.h
+++ b/cmd/ptproxy/proxy.h
@@ -411,8 +411,13 @@
 void ingress_update(struct ingress *);
 /* The port that it listens on, if that of the settings is 0. */
 guint ingress_port(const struct ingress *);
-/* Closes the idle connections; others close after their response. */
+/*
+ * Closes the idle connections; others close after their response.  Those that
+ * were opened just now are spared, as their first request is on its way.
+ */
 void ingress_close_idle(struct ingress *);
+/* Number of connections that ingress_close_idle() spares. */
+guint ingress_awaited(const struct ingress *);
 void ingress_close_listener(struct ingress *); /* stops accepting */
 /* Refuses requests still being read whose answers would come too late. */
 void ingress_refuse_late(struct ingress *);
--- a/cmd/ptproxy/stop.c
+++ b/cmd/ptproxy/stop.c
@@ -182,7 +182,9 @@
 	}
 	if (PT_MUTANT(MUTANT_STOP_AT_ONCE))
 		since = grace;
-	if ((since < NOTICE_US || stop_busy(p) > 0) && since < stop_end(grace))
+	if ((since < NOTICE_US || stop_busy(p) > 0 ||
+		ingress_awaited(p->ingress) > 0) &&
+	    since < stop_end(grace))
 		p->stop_timer = sys_after(CHECK_US, stop_step, p);
 	else
 		end(p);
--- a/test/ingress_test.c
+++ b/test/ingress_test.c
@@ -941,6 +941,29 @@
 }
 END_TEST
 
+static const char plain[] = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/*
+ * Guards against a request that crosses the close of its idle connection and is
+ * accepted there, but not answered: its caller must take it for one that may
+ * have run.
+ */
+START_TEST(request_that_crosses_a_close_is_not_read)
+{
+	GSocket *s = loop_connect(HOST, port_of(0));
+
+	loop_send(s, plain);
+	g_free(loop_expect(s, "\r\n\r\n"));
+	p.stopping = TRUE;
+	ingress_close_idle(p.ingress);
+	LOOP_IDLE();
+	loop_send(s, plain);
+	/* The peer has reset the connection: a socket that reads would not. */
+	ck_assert_int_eq(g_socket_send(s, plain, 1, NULL, NULL), -1);
+	loop_close(s);
+}
+END_TEST
+
 /* ---- responses that are incomplete or invalid ---- */
 
 /* More than the socket buffers of both ends hold. */
@@ -1192,6 +1215,7 @@
 	tcase_add_test(t, empty_bodies_of_nodes_are_answered);
 	tcase_add_test(t, damaged_messages_do_not_end_the_process);
 	tcase_add_test(t, requests_that_arrived_are_answered);
+	tcase_add_test(t, request_that_crosses_a_close_is_not_read);
 	tcase_add_test(t, log_says_that_a_caller_left_only_if_it_did);
 	tcase_add_test(t, limits_of_a_new_version_hold_on_kept_connections);
 	suite_add_tcase(suite, t);
--- a/test/stop_test.c
+++ b/test/stop_test.c
@@ -62,6 +62,7 @@
 	char id[16];
 	int entry; /* index of the node that it is sent to */
 	GSocket *sock;
+	gint64 opened; /* time of the connection, 0: as the first byte */
 	gint64 start; /* time of the first byte */
 	gint64 whole; /* time of the last byte */
 	gint64 read; /* time from which the caller reads */
@@ -488,10 +489,13 @@
 static void
 caller_act(struct caller *c)
 {
+	if (c->opened != 0 && paused_now >= c->opened && c->sock == NULL)
+		caller_connect(c);
 	if (paused_now < c->start || (ended(c) && !c->begun))
 		return;
 	if (!c->begun) {
-		caller_connect(c);
+		if (c->sock == NULL)
+			caller_connect(c);
 		c->begun = TRUE;
 		if (!c->closed)
 			caller_send_head(c);
@@ -727,6 +731,41 @@
 }
 END_TEST
 
+/*
+ * Guards against a request that is cut off without an answer as its caller
+ * connects just before idle connections are closed, and against a stop that
+ * waits for a caller that sends nothing.
+ */
+START_TEST(first_request_on_a_connection_is_answered)
+{
+	int i;
+
+	rnd = g_rand_new_with_seed(1);
+	timeout = 4 * SECOND;
+	begin(1, 6 * SECOND, RTAB_ONCE);
+	for (i = 0; i < CALLERS; i++)
+		caller_draw(&caller[i], i, SECOND, NEVER, NEVER);
+	for (i = 0; i < 4; i++) {
+		caller[i].entry = 0;
+		caller[i].opened = SIGNAL + 2450 * MS;
+		caller[i].run = 50 * MS;
+		caller[i].size = 1;
+		caller[i].read = 0;
+	}
+	for (i = 0; i < 3; i++)
+		caller[i].start = caller[i].whole =
+		    caller[i].opened + (i + 1) * 60 * MS;
+	act_until(SIGNAL + 6 * SECOND);
+	for (i = 0; i < 3; i++) {
+		ck_assert_uint_eq(caller[i].answers, 1);
+		check_answers(&caller[i]);
+	}
+	ck_assert_int_ne(stopped_at, 0);
+	ck_assert_int_lt(stopped_at, SIGNAL + 3 * SECOND);
+	end();
+}
+END_TEST
+
 int
 main(void)
 {
@@ -735,6 +774,7 @@
 
 	tcase_add_loop_test(t, stopping_node_answers_every_request, 0, SEEDS);
 	tcase_add_test(t, server_at_work_can_make_calls_while_its_node_stops);
+	tcase_add_test(t, first_request_on_a_connection_is_answered);
 	suite_add_tcase(suite, t);
 	return suite_run(suite);
 }
