--- a/Makefile
+++ b/Makefile
@@ -104,6 +104,11 @@
 
 # Tests of whole processes start these programs.
 $B/test/standin_test: | $(addprefix $B/bin/,ptlog ptback)
+# This test calls a part of the program.
+$B/test/ptburn_test: PARTS = $B/cmd/ptburn/fetch.o
+$B/test/ptburn_test: $B/cmd/ptburn/fetch.o
+$B/test/ptburn_test.o: ALL += -Icmd/ptburn
+
 # This test runs the program.
 $B/test/ptctl_test: $B/bin/ptctl
 
@@ -128,10 +133,10 @@
 	clang-format --dry-run -Werror $(SRC)
 lint:
 	printf '%s\n' $(CSRC) | xargs -P 5 -n 4 sh -c 'clang-tidy -quiet "$$@" -- \
-	    $(filter-out -Werror,$(ALL)) -Icmd/ptnode -Icmd/ptproxy -Itest/cluster -Itest/paused $(CHECKFLAGS) 2>/dev/null' tidy
+	    $(filter-out -Werror,$(ALL)) -Icmd/ptnode -Icmd/ptproxy -Icmd/ptburn -Itest/cluster -Itest/paused $(CHECKFLAGS) 2>/dev/null' tidy
 	cppcheck -q -j 4 --error-exitcode=1 --enable=warning,portability \
 	    --inline-suppr --library=gtk --suppress=missingInclude --suppress=memleak -D__GNUC__ \
-	    $(INC) -Icmd/ptnode -Icmd/ptproxy -Itest/cluster -Itest/paused $(CSRC)
+	    $(INC) -Icmd/ptnode -Icmd/ptproxy -Icmd/ptburn -Itest/cluster -Itest/paused $(CSRC)
 
 .PHONY: all tests gen clean fmt fmt-check lint
 .SECONDARY:
