h1_test: responses that end in any order of events

Random responses (until the close, by length, in chunks; whole or cut), in pieces, with and without an upload in progress and a paused reader, end by a close, a reset, or both: part of one must not be delivered as complete, and a complete one must not be lost. The tests of single orders stay.

--- a/test/h1_test.c
+++ b/test/h1_test.c
@@ -1189,6 +1189,136 @@
 }
 END_TEST
 
+#define END_RUNS 400
+/* Longest body of these responses. */
+#define END_BODY 3000
+
+/* How a response is delimited, and how the server ends the connection. */
+enum framing {
+	UNTIL_CLOSE,
+	BY_LENGTH,
+	BY_CHUNKS,
+	FRAMINGS
+};
+enum ending {
+	CLOSE,
+	RESET,
+	HALF_CLOSE_AND_RESET,
+	ENDINGS
+};
+
+/* A response with this body, in chunks of any size if it is chunked. */
+static GString *
+framed(GRand *rand, enum framing framing, const char *body)
+{
+	GString *text = g_string_new("HTTP/1.1 200 OK\r\n");
+	gsize len = strlen(body), at, n;
+
+	if (framing == BY_LENGTH)
+		g_string_append_printf(
+		    text, "Content-Length: %u\r\n", (guint)len);
+	if (framing == BY_CHUNKS)
+		g_string_append(text, "Transfer-Encoding: chunked\r\n");
+	g_string_append(text, "\r\n");
+	if (framing != BY_CHUNKS) {
+		g_string_append(text, body);
+		return text;
+	}
+	for (at = 0; at < len; at += n) {
+		n = (gsize)g_rand_int_range(rand, 1, (gint32)(len - at) + 1);
+		g_string_append_printf(
+		    text, "%x\r\n%.*s\r\n", (guint)n, (int)n, body + at);
+	}
+	g_string_append(text, "0\r\n\r\n");
+	return text;
+}
+
+/* Sends a text in pieces of any size; the loop runs between some of them. */
+static void
+send_pieces(GRand *rand, struct result *r, const char *text)
+{
+	gsize left = strlen(text), n;
+
+	while (left > 0 && r->completes + r->failed == 0) {
+		n = (gsize)g_rand_int_range(rand, 1, (gint32)left + 1);
+		ck_assert_int_eq(
+		    g_socket_send(c.peer, text, n, NULL, NULL), (gssize)n);
+		text += n;
+		left -= n;
+		if (g_rand_boolean(rand))
+			LOOP_IDLE();
+		if (r->heads == 1 && r->completes == 0 &&
+		    g_rand_int_range(rand, 0, 4) == 0)
+			h1_call_pause(r->call, TRUE);
+	}
+}
+
+static void
+end_connection(enum ending ending)
+{
+	if (ending == CLOSE) {
+		g_socket_shutdown(c.peer, FALSE, TRUE, NULL);
+		return;
+	}
+	if (ending == HALF_CLOSE_AND_RESET)
+		g_socket_shutdown(c.peer, FALSE, TRUE, NULL);
+	loop_reset(c.peer);
+	c.peer = NULL;
+}
+
+/*
+ * Guards against a part of a response that is delivered as a complete one, and
+ * against a complete one that is lost, in whatever order the pieces of it, the
+ * upload and the end of the connection meet.
+ */
+START_TEST(response_is_complete_or_fails_however_it_ends)
+{
+	GRand *rand = g_rand_new_with_seed(FUZZ_SEED);
+	char *all = g_strnfill(END_BODY, 'b'), *body;
+	enum framing framing;
+	enum ending ending;
+	struct result r;
+	gboolean upload, cut;
+	GString *text;
+	int i;
+
+	for (i = 0; i < END_RUNS; i++) {
+		framing = (enum framing)g_rand_int_range(rand, 0, FRAMINGS);
+		ending = (enum ending)g_rand_int_range(rand, 0, ENDINGS);
+		upload = i % 8 == 0;
+		cut = g_rand_boolean(rand);
+		body =
+		    g_strndup(all, (gsize)g_rand_int_range(rand, 1, END_BODY));
+		text = framed(rand, framing, body);
+		if (cut)
+			g_string_truncate(text,
+			    (gsize)g_rand_int_range(rand, 1, (gint)text->len));
+		call_upload(&r, upload);
+		send_pieces(rand, &r, text->str);
+		end_connection(ending);
+		if (r.completes + r.failed == 0)
+			h1_call_pause(r.call, FALSE);
+		UNTIL(r.completes + r.failed == 1);
+		if (framing != UNTIL_CLOSE)
+			ck_assert_msg(r.completes == !cut,
+			    "run %d: framing %d, ending %d, upload %d, cut %d",
+			    i, framing, ending, upload, cut);
+		else if (ending == RESET)
+			ck_assert_int_eq(r.completes, 0);
+		else if (ending == CLOSE && !cut)
+			ck_assert_int_eq(r.completes, 1);
+		if (r.completes == 1 && !cut)
+			ck_assert_str_eq(r.body->str, body);
+		LOOP_IDLE();
+		result_clear(&r);
+		g_string_free(text, TRUE);
+		g_free(body);
+	}
+	g_free(all);
+	g_rand_free(rand);
+}
+END_TEST
+
 /* ---- invalid responses ---- */
 
 static int fetched, fetch_code;
@@ -1582,6 +1712,7 @@
 	tcase_add_test(client, announced_idle_time_limits_reuse);
 	tcase_add_test(client, head_and_interim_responses);
 	tcase_add_test(client, call_without_descriptors_fails);
+	tcase_add_test(client, response_is_complete_or_fails_however_it_ends);
 	tcase_add_test(client, body_is_sent_without_a_copy);
 	tcase_add_test(client, connection_with_an_unsent_body_is_not_reused);
 	tcase_add_test(client, partial_body_before_a_reset_is_not_complete);
