h1: a tab after "chunked" is no part of the coding

Cause: http_parser takes "Transfer-Encoding: chunked" for another coding if a tab follows, and reads the body to the end of the connection; the check of the field strips blanks, as HTTP does. The caller got a 200 whose body held the lines of the chunks, and at any end of the connection it was complete.

Change: the message is chunked if its only Transfer-Encoding is "chunked".

Result: h1_test tab_after_chunked_is_no_part_of_it and ingress_test caller_gets_no_chunk_lines fail before (a body of 12 bytes in place of 2) and pass after.

--- a/adapter/h1/parse.c
+++ b/adapter/h1/parse.c
@@ -215,6 +215,9 @@
 		h->method = g_strdup(http_method_str(hp->method));
 		h->target = g_strndup(p->target->str, p->target->len);
 	}
+	/* http_parser does not note it if a tab follows "chunked". */
+	if (p->coded && coding_ok(h))
+		hp->flags |= F_CHUNKED;
 	h->chunked = (hp->flags & F_CHUNKED) != 0;
 	if (hp->content_length != G_MAXUINT64)
 		h->length = (gint64)hp->content_length;
--- a/test/h1_test.c
+++ b/test/h1_test.c
@@ -1028,6 +1028,38 @@
 }
 END_TEST
 
+/*
+ * Guards against chunk lines delivered as the body, which is then complete at
+ * any end of the connection: http_parser takes "chunked", with a tab after it,
+ * for another coding.
+ */
+START_TEST(tab_after_chunked_is_no_part_of_it)
+{
+	static const char head[] =
+	    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\t\r\n\r\n";
+	struct result r;
+
+	call(&r, NULL);
+	accept_peer();
+	read_request();
+	loop_send(c.peer, head);
+	loop_send(c.peer, "2\r\nab\r\n0\r\n\r\n");
+	UNTIL(r.completes + r.failed == 1);
+	ck_assert_int_eq(r.completes, 1);
+	ck_assert_str_eq(r.body->str, "ab");
+	result_clear(&r);
+
+	call(&r, NULL);
+	read_request();
+	loop_send(c.peer, head);
+	loop_send(c.peer, "2\r\nab\r\n");
+	g_socket_shutdown(c.peer, FALSE, TRUE, NULL);
+	UNTIL(r.completes + r.failed == 1);
+	ck_assert_int_eq(r.failed, 1);
+	result_clear(&r);
+}
+END_TEST
+
 /* ---- heads ---- */
 
 /* Guards against forwarding of hop-by-hop fields. */
@@ -1784,6 +1816,7 @@
 	tcase_add_test(client, announced_idle_time_limits_reuse);
 	tcase_add_test(client, head_and_interim_responses);
 	tcase_add_test(client, interim_response_has_no_body);
+	tcase_add_test(client, tab_after_chunked_is_no_part_of_it);
 	tcase_add_test(client, call_without_descriptors_fails);
 	tcase_add_test(client, response_is_complete_or_fails_however_it_ends);
 	tcase_add_test(client, body_is_sent_without_a_copy);
--- a/test/ingress_test.c
+++ b/test/ingress_test.c
@@ -1119,11 +1119,9 @@
 }
 END_TEST
 
-/*
- * Guards against a process that ends, or a caller that gets no answer, because
- * the final response is taken for the body of an interim one.
- */
-START_TEST(caller_gets_the_response_after_an_interim_one)
+/* The response that a caller gets if the server sends this text and closes. */
+static char *
+response_to(const char *text, const char *until)
 {
 	GSocket *s = loop_connect(HOST, port_of(0)), *conn;
 	char *got;
@@ -1132,16 +1130,41 @@
 	UNTIL((conn = g_socket_accept(listener, NULL, NULL)) != NULL);
 	g_socket_set_blocking(conn, FALSE);
 	g_free(loop_expect(conn, "\r\n\r\n"));
-	loop_send(conn,
-	    "HTTP/1.1 103 Early\r\nTransfer-Encoding-Hint: a\r\n\r\n"
-	    "HTTP/1.1 200 OK\r\n" SIGNED "Content-Length: 2\r\n\r\nab");
+	loop_send(conn, text);
 	g_socket_shutdown(conn, FALSE, TRUE, NULL);
-	got = loop_expect(s, "\r\n\r\n");
-	ck_assert_msg(strstr(got, " 200 ") != NULL, "%s", got);
-	g_free(got);
+	got = loop_expect(s, until);
 	loop_close(s);
 	loop_close(conn);
 	LOOP_IDLE();
+	return got;
+}
+
+/*
+ * Guards against a 502 because the final response is taken for the body of an
+ * interim one.
+ */
+START_TEST(caller_gets_the_response_after_an_interim_one)
+{
+	char *got = response_to(
+	    "HTTP/1.1 103 Early\r\nTransfer-Encoding-Hint: a\r\n\r\n"
+	    "HTTP/1.1 200 OK\r\n" SIGNED "Content-Length: 2\r\n\r\nab",
+	    "\r\n\r\n");
+
+	ck_assert_msg(strstr(got, " 200 ") != NULL, "%s", got);
+	g_free(got);
+}
+END_TEST
+
+/* Guards against a body with the lines of its chunks at the caller. */
+START_TEST(caller_gets_no_chunk_lines)
+{
+	char *got = response_to("HTTP/1.1 200 OK\r\n" SIGNED
+				"Transfer-Encoding: chunked\t\r\n\r\n"
+				"2\r\nab\r\n0\r\n\r\n",
+	    "ab");
+
+	ck_assert_msg(g_str_has_suffix(got, "\r\n\r\nab"), "%s", got);
+	g_free(got);
 }
 END_TEST
 
@@ -1258,6 +1281,7 @@
 	tcase_add_test(t, caller_gets_502_for_a_response_that_was_reset);
 	tcase_add_test(t, caller_is_reset_when_its_response_was_reset);
 	tcase_add_test(t, caller_gets_the_response_after_an_interim_one);
+	tcase_add_test(t, caller_gets_no_chunk_lines);
 	tcase_add_loop_test(t, caller_gets_502_for_a_status_that_is_none, 0,
 	    G_N_ELEMENTS(bad_status));
 	tcase_add_loop_test(t, caller_gets_502_for_an_invalid_field_line, 0,
