h1_fuzz_test: requests, and a second reader of the body

The fuzzer of responses is one of messages now: requests have a corpus of their own, and what is delivered as complete must be what a second, plain reader of the bytes finds, chunks included. The two random numbers of an input are drawn in a fixed order, which the compiler was free to choose.

--- a/test/response_fuzz_test.c
+++ b/test/h1_fuzz_test.c
@@ -1,6 +1,7 @@
 /*
- * Fuzzes the parser of responses with a corpus in test/responses.  Runs longer
- * if PT_FUZZ_ROUNDS is set; PT_FUZZ_SEED replaces the seed.
+ * Fuzzes the parser of messages with the corpora in test/responses and
+ * test/requests.  Runs longer if PT_FUZZ_ROUNDS is set; PT_FUZZ_SEED replaces
+ * the seed.
  */
 #include <gio/gio.h>
 #include <check.h>
@@ -19,7 +20,9 @@
 
 #define ROUNDS "20000"
 #define SEED "36"
-#define CORPUS "test/responses"
+
+/* The kind of messages: responses or requests. */
+static gboolean requests;
 
 /* What the parser delivered of one input. */
 struct outcome {
@@ -73,6 +76,7 @@
 	o->conn.ops = &ops;
 	o->conn.ctx = o;
 	o->conn.expecting = TRUE;
+	o->conn.server = requests;
 	o->conn.bodyless = head;
 	o->conn.head_max = H1_HEAD_MAX;
 	o->conn.in = g_byte_array_new();
@@ -109,6 +113,21 @@
 	return p > s;
 }
 
+static void
+check_start_line(const struct h1_head *h)
+{
+	const guchar *v = (const guchar *)h->target;
+
+	if (!requests) {
+		ck_assert_int_ge(h->status, 200);
+		ck_assert_int_le(h->status, 599);
+		return;
+	}
+	ck_assert_int_ne(v[0], '\0');
+	for (; *v != '\0'; v++)
+		ck_assert_msg(*v > ' ' && *v != 0x7f, "target %s", h->target);
+}
+
 /* What holds for each head that is delivered. */
 static void
 check_head(const struct h1_head *h)
@@ -117,8 +136,7 @@
 	const guchar *v;
 	guint i;
 
-	ck_assert_int_ge(h->status, 200);
-	ck_assert_int_le(h->status, 599);
+	check_start_line(h);
 	ck_assert_int_ge(h->length, -1);
 	ck_assert(!h->chunked || h->length < 0);
 	for (i = 0; i < h->fields->len; i++) {
@@ -129,24 +147,150 @@
 	}
 }
 
+/* ---- a second reader, which finds the body of a message ---- */
+
+struct reader {
+	const char *at, *end;
+	int status;
+	gint64 length; /* Content-Length, -1: absent */
+	gboolean chunked;
+};
+
+/* The next line without its end; FALSE: there is no whole line. */
+static gboolean
+read_line(struct reader *r, GString *line)
+{
+	const char *lf = memchr(r->at, '\n', (gsize)(r->end - r->at));
+
+	if (lf == NULL)
+		return FALSE;
+	g_string_truncate(line, 0);
+	g_string_append_len(line, r->at, lf - r->at);
+	if (line->len > 0 && line->str[line->len - 1] == '\r')
+		g_string_truncate(line, line->len - 1);
+	r->at = lf + 1;
+	return TRUE;
+}
+
 static void
-check_outcome(const struct outcome *o, gboolean head)
+read_field(struct reader *r, char *line)
 {
-	const struct h1_head *h = o->head;
+	char *value = strchr(line, ':');
 
+	if (value == NULL)
+		return;
+	*value++ = '\0';
+	if (g_ascii_strcasecmp(line, "Content-Length") == 0)
+		r->length = g_ascii_strtoll(value, NULL, 10);
+	else if (g_ascii_strcasecmp(line, "Transfer-Encoding") == 0)
+		r->chunked = TRUE;
+}
+
+/* Reads one head, after the empty lines that may precede it. */
+static gboolean
+read_head(struct reader *r, GString *line)
+{
+	r->length = -1;
+	r->chunked = FALSE;
+	while (r->at < r->end && (*r->at == '\r' || *r->at == '\n'))
+		r->at++;
+	if (!read_line(r, line))
+		return FALSE;
+	r->status = requests ? 0 : atoi(line->str + strcspn(line->str, " "));
+	while (read_line(r, line)) {
+		if (line->len == 0)
+			return TRUE;
+		read_field(r, line->str);
+	}
+	return FALSE;
+}
+
+static gboolean
+read_bytes(struct reader *r, guint64 n, GString *body)
+{
+	if (n > (guint64)(r->end - r->at))
+		return FALSE;
+	g_string_append_len(body, r->at, (gssize)n);
+	r->at += n;
+	return TRUE;
+}
+
+static gboolean
+read_chunks(struct reader *r, GString *line, GString *body)
+{
+	guint64 n;
+
+	while (read_line(r, line)) {
+		n = g_ascii_strtoull(line->str, NULL, 16);
+		if (n == 0)
+			break;
+		if (!read_bytes(r, n, body) || !read_line(r, line) ||
+		    line->len > 0)
+			return FALSE;
+	}
+	while (read_line(r, line))
+		if (line->len == 0)
+			return TRUE;
+	return FALSE;
+}
+
+/* The body of a valid message; FALSE: it is not complete. */
+static gboolean
+read_message(struct reader *r, gboolean head, GString *body)
+{
+	GString *line = g_string_new(NULL);
+	gboolean ok;
+
+	do
+		ok = read_head(r, line);
+	while (ok && !requests && r->status < 200);
+	if (!ok || head || r->status == 204 || r->status == 304)
+		;
+	else if (r->chunked)
+		ok = read_chunks(r, line, body);
+	else if (r->length >= 0)
+		ok = read_bytes(r, (guint64)r->length, body);
+	else if (!requests)
+		g_string_append_len(body, r->at, r->end - r->at);
+	g_string_free(line, TRUE);
+	return ok;
+}
+
+/* A message that was delivered as complete is what this reader finds. */
+static void
+check_message(
+    const struct outcome *o, const guint8 *p, gsize len, gboolean head)
+{
+	struct reader r = { .at = (const char *)p,
+		.end = (const char *)p + len };
+	GString *body = g_string_new(NULL);
+	gboolean complete = read_message(&r, head, body);
+
+	ck_assert_msg(complete && r.status == o->head->status &&
+			  g_string_equal(body, o->body),
+	    "complete %d, body of %u bytes, not %u: %.*s", complete,
+	    (guint)body->len, (guint)o->body->len, (int)len, (const char *)p);
+	g_string_free(body, TRUE);
+}
+
+/* ---- checks ---- */
+
+static void
+check_outcome(
+    const struct outcome *o, const guint8 *p, gsize len, gboolean head)
+{
 	ck_assert_uint_le(o->completes, 1);
 	ck_assert_uint_le(o->heads, 1);
 	ck_assert_uint_le(o->completes, o->heads);
-	if (h == NULL)
+	if (o->head == NULL || o->heads == 0)
 		return;
-	check_head(h);
-	if (o->completes == 0 || head || h->status == 204 || h->status == 304)
+	check_head(o->head);
+	if (o->completes == 0)
 		return;
-	/* A complete response has as many bytes as it says. */
-	if (h->length >= 0)
-		ck_assert_int_eq((gint64)o->body->len, h->length);
+	check_message(o, p, len, head);
 	/* What ends with its connection is not reused. */
-	else if (!h->chunked)
+	if (!requests && !head && o->head->status != 204 &&
+	    o->head->status != 304 && o->head->length < 0 && !o->head->chunked)
 		ck_assert(!o->conn.keep_alive);
 }
 
@@ -158,8 +302,8 @@
 
 	parse(&whole, p, len, MAX(len, 1), head);
 	parse(&parts, p, len, step, head);
-	check_outcome(&whole, head);
-	check_outcome(&parts, head);
+	check_outcome(&whole, p, len, head);
+	check_outcome(&parts, p, len, head);
 	ck_assert_uint_eq(whole.completes, parts.completes);
 	/* A fault hides what came in one piece with it. */
 	ck_assert_uint_le(whole.heads, parts.heads);
@@ -184,9 +328,9 @@
 }
 
 static void
-setup(void)
+read_corpus(const char *dir)
 {
-	GDir *d = g_dir_open(CORPUS, 0, NULL);
+	GDir *d = g_dir_open(dir, 0, NULL);
 	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
 	const char *name;
 	char *text, *path;
@@ -200,7 +344,7 @@
 	g_ptr_array_sort(names, by_name);
 	corpus = g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
 	for (i = 0; i < names->len; i++) {
-		path = g_build_filename(CORPUS, names->pdata[i], NULL);
+		path = g_build_filename(dir, names->pdata[i], NULL);
 		ck_assert(g_file_get_contents(path, &text, &len, NULL));
 		g_ptr_array_add(corpus, g_bytes_new_take(text, len));
 		g_free(path);
@@ -209,6 +353,20 @@
 	ck_assert_uint_gt(corpus->len, 0);
 }
 
+static void
+setup_responses(void)
+{
+	requests = FALSE;
+	read_corpus("test/responses");
+}
+
+static void
+setup_requests(void)
+{
+	requests = TRUE;
+	read_corpus("test/requests");
+}
+
 static void
 teardown(void)
 {
@@ -276,7 +434,7 @@
 	return g_ascii_strtoll(v != NULL ? v : def, NULL, 10);
 }
 
-/* Guards against a corpus whose valid responses are refused. */
+/* Guards against a corpus whose valid messages are refused. */
 START_TEST(corpus_is_read)
 {
 	struct outcome o;
@@ -298,11 +456,11 @@
 END_TEST
 
 /*
- * Guards against crashes of the parser, against heads, fields and lengths that
- * no response may have, and against outcomes that depend on how the bytes
+ * Guards against crashes of the parser, against heads, fields and bodies that
+ * no message may have, and against outcomes that depend on how the bytes
  * arrive.
  */
-START_TEST(damaged_responses_keep_the_rules)
+START_TEST(damaged_messages_keep_the_rules)
 {
 	gint64 seed = number_of("PT_FUZZ_SEED", SEED), i;
 	gint64 rounds = number_of("PT_FUZZ_ROUNDS", ROUNDS);
@@ -319,25 +477,34 @@
 		n = 1 + g_rand_int(r) % 4;
 		for (k = 0; k < n; k++)
 			mutate(r, a);
-		try_input(a->data, a->len, 1 + g_rand_int(r) % 16,
-		    g_rand_int(r) % 8 == 0);
+		n = 1 + g_rand_int(r) % 16;
+		try_input(
+		    a->data, a->len, n, g_rand_int(r) % 8 == 0 && !requests);
 	}
 	g_byte_array_unref(a);
 	g_rand_free(r);
 }
 END_TEST
 
-int
-main(void)
+static void
+add_case(Suite *s, const char *name, void (*setup)(void))
 {
-	Suite *s = suite_create("response_fuzz");
-	TCase *t = tcase_create("responses");
+	TCase *t = tcase_create(name);
 
 	/* A long run may take any time. */
 	tcase_set_timeout(t, 0);
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_test(t, corpus_is_read);
-	tcase_add_test(t, damaged_responses_keep_the_rules);
+	tcase_add_test(t, damaged_messages_keep_the_rules);
 	suite_add_tcase(s, t);
+}
+
+int
+main(void)
+{
+	Suite *s = suite_create("h1_fuzz");
+
+	add_case(s, "responses", setup_responses);
+	add_case(s, "requests", setup_requests);
 	return suite_run(s);
 }
