--- a/test/h1_fuzz_test.c
+++ b/test/h1_fuzz_test.c
@@ -379,7 +379,11 @@
 	"HTTP/1.1 100 Continue\r\n\r\n", "Content-Length",
 	"Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n", "chunked",
 	"Connection: close\r\n", "Connection: upgrade\r\n", "Upgrade: x\r\n",
-	"0\r\n", "0\r\n\r\n", "2\r\nab\r\n", ";a=b" };
+	"0\r\n", "0\r\n\r\n", "2\r\nab\r\n", ";a=b", ",", "+", "-", "0x",
+	"\x0b", "\x0c", "\xff", "identity", "gzip, chunked",
+	"Transfer-Encoding:", "Content-Length: 2, 2\r\n", "HTTP/1.0 200 OK\r\n",
+	"HTTP/2.0", "Host: h\r\n", "GET /x HTTP/1.1\r\nHost: h\r\n",
+	"Connection: keep-alive\r\n" };
 
 static const guint8 *
 pick(GRand *r, gsize *len)
