source: a node that cannot tell how recent its configuration is reads the store

Cause: nobody but a reader can notice that it has lost the store, and it notices at the end of its long poll. Ruled out: slow news, readers that took over and are cut off as well, an older version put in force again, the store.

Change: core/beacon. One node reads the store in cycles of 40 % of the bound on changes (configApplyS) and tells all nodes, by datagrams that each relays once, which version was the newest and when. A node that hears none asks two others at 45 % and reads the store itself at 50 to 70 % of the bound, a few nodes first; one that succeeds goes on. Readers hold their polls for 20 s in place of 4 s. Without a bound in the settings nothing changes.

Why it works: a node whose path to the store is sound has read at 70 % of the bound at the latest, whatever has become of others.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 PKGS = glib-2.0 gio-2.0 gio-unix-2.0 libsoup-3.0 libtirpc json-glib-1.0 yajl
 LIBDIRS = port rpc core/conf core/memb core/dist core/call core/burn \
-	core/rtab core/reg core/quar core/limit adapter/rpcio adapter/httpio adapter/sysio \
+	core/rtab core/reg core/quar core/limit core/beacon adapter/rpcio adapter/httpio adapter/sysio \
 	adapter/h1 platform bench/mesh bench/fakenet \
 	bench/sim bench/soak
 PROGS = ptnode ptproxy ptctl ptburn ptlog ptback ptload
--- a/cmd/ptproxy/members.c
+++ b/cmd/ptproxy/members.c
@@ -167,6 +167,8 @@
 		quarantine_heard(p->quarantine, data, len);
 	else if (kind == PT_DEPARTURES && p->departures != NULL)
 		departures_heard(p->departures, data, len);
+	else if (kind == PT_BEACON)
+		beacons_heard(p->beacons, data, len);
 }
 
 void
--- a/cmd/ptproxy/proxy.c
+++ b/cmd/ptproxy/proxy.c
@@ -217,6 +217,7 @@
 	p->peers = peers_new(p);
 	if (!members_start(p, err))
 		return FALSE;
+	p->beacons = beacons_new(p);
 	p->source = source_new(p);
 	p->keys = keys_new(p);
 	p->limits = limits_new(p);
@@ -262,6 +263,7 @@
 	g_clear_pointer(&p->limits, limits_free);
 	g_clear_pointer(&p->keys, keys_free);
 	g_clear_pointer(&p->source, source_free);
+	g_clear_pointer(&p->beacons, beacons_free);
 	members_stop(p);
 	g_clear_pointer(&p->peers, peers_free);
 	stop_backend(p);
--- a/cmd/ptproxy/proxy.h
+++ b/cmd/ptproxy/proxy.h
@@ -474,6 +474,23 @@
 /* Deletes this node's entry in the store. */
 void discovery_leave(struct discovery *);
 
+/* ---- beacons.c: how recent the configuration is known to be ---- */
+
+struct beacons;
+/* NULL: the settings name no bound; the other functions then do nothing. */
+struct beacons *beacons_new(struct proxy *);
+void beacons_free(struct beacons *);
+/* See core/beacon/beacon.h. */
+void beacons_applied(struct beacons *, gint64 version);
+void beacons_read(struct beacons *, gint64 at, gint64 delay);
+void beacons_failed(struct beacons *, gint64 retry);
+void beacons_heard(struct beacons *, const void *data, gsize len);
+/* This node reads the store for all nodes, in cycles of beacons_wait_ms(). */
+gboolean beacons_sending(const struct beacons *);
+guint beacons_wait_ms(const struct beacons *);
+/* Time since the configuration was known to be the newest, -1: not known. */
+gint64 beacons_age(const struct beacons *);
+
 /* ---- source.c: reads the configuration from the store and from nodes ---- */
 
 struct source;
@@ -497,6 +514,8 @@
  * this node to.
  */
 void source_take_over(struct source *, const char *from);
+/* Reads the store now: it ends with beacons_read() or beacons_failed(). */
+void source_check(struct source *);
 /* The node "by" reads the store in the place of this one. */
 void source_covered(struct source *, const char *by);
 void source_table(
@@ -551,6 +570,7 @@
 	STAT_LIMIT_UNKNOWN, /* requests refused as no owner of it responds */
 	STAT_KEYS_UNCERTAIN, /* requests refused as keys cannot be checked */
 	STAT_STALLED, /* runs at the server whose slots were reassigned */
+	STAT_STALE_READS, /* reads of the store as no beacon was heard */
 	STAT_LAST
 };
 
@@ -590,6 +610,7 @@
 	guint rebuild_timer;
 
 	struct plat_store *store;
+	struct beacons *beacons; /* NULL: the settings name no bound */
 	struct source *source;
 	struct discovery *discovery;
 	struct backend *backend;
--- a/cmd/ptproxy/source.c
+++ b/cmd/ptproxy/source.c
@@ -17,10 +17,12 @@
 #include "proxy.h"
 
 /*
- * Longest time that the store may hold a read open; other nodes report new
- * versions sooner.
+ * Time for which the store holds a read of a reader open; other nodes report
+ * new versions sooner.  With beacons, an elected reader need not notice soon
+ * that it has lost the store.
  */
 #define WAIT_MS 4000
+#define LONG_WAIT_MS 20000
 /* A read is held open for this part of the time to take keys away, inverse. */
 #define REVOKE_DIV 5
 /* A read of the next records times out this long after the end of its wait. */
@@ -61,6 +63,8 @@
 #define ASKS_QUICK 3
 /* Delay between two reads, so that quick changes are read together. */
 #define READ_GAP_US (600 * G_TIME_SPAN_MILLISECOND)
+/* The same at the node that sends beacons: the next one must not be late. */
+#define SENDER_GAP_US (100 * G_TIME_SPAN_MILLISECOND)
 /* Backoff after a failed call: doubles up to the maximum. */
 #define BACKOFF_US (100 * G_TIME_SPAN_MILLISECOND)
 #define BACKOFF_MAX_US (1 * G_TIME_SPAN_SECOND)
@@ -98,8 +102,9 @@
 	guint fetching; /* fetches in progress */
 	GHashTable *asked; /* name -> struct asked, until it answers */
 	gboolean closed;
-	gboolean reading; /* a call to the store is in progress */
+	struct plat_call *call; /* to the store, in progress, or NULL */
 	gint64 read_at; /* start of that */
+	guint wait_ms; /* time for which the store may hold it open */
 	gboolean refused; /* the newest document could not be parsed */
 	gboolean paused; /* no call has been in progress for a while */
 	gboolean nonreader; /* leaves the long poll to the N_READERS */
@@ -206,6 +211,7 @@
 	    "version=%" G_GINT64_FORMAT " routes=%u from=%s", rtab_version(t),
 	    rtab_n_routes(t), from);
 	proxy_set_config(p, t);
+	beacons_applied(p->beacons, rtab_version(p->rtab));
 	s->empty_fetches = 0;
 	s->applied_at = pt_now(&p->clock);
 	memb_send_position(p->memb, NOTIFY_MAX);
@@ -220,7 +226,7 @@
 	struct source *s = arg;
 
 	s->timer = 0;
-	if (s->reading)
+	if (s->call != NULL)
 		return;
 	if (s->next < 0)
 		read_newest(s);
@@ -232,14 +238,28 @@
 is_reader(const struct source *s)
 {
 	return memb_elected(s->proxy->memb, N_READERS) ||
+	       beacons_sending(s->proxy->beacons) ||
 	       pt_now(&s->proxy->clock) < s->take_over_until;
 }
 
+void
+source_check(struct source *s)
+{
+	if (s->call != NULL && s->wait_ms == 0)
+		return;
+	if (s->call != NULL)
+		plat_store_cancel(s->call);
+	s->call = NULL;
+	s->paused = TRUE;
+	sys_cancel(&s->timer);
+	read_store(s);
+}
+
 /* A node that has become a reader reads the store at once. */
 static void
 check_reader(struct source *s)
 {
-	if (s->reading || !s->nonreader || !is_reader(s))
+	if (s->call != NULL || !s->nonreader || !is_reader(s))
 		return;
 	s->nonreader = FALSE;
 	sys_cancel(&s->timer);
@@ -301,6 +321,9 @@
 		    "time_ms=%" G_GINT64_FORMAT,
 		    TAKE_OVER_US / G_TIME_SPAN_MILLISECOND);
 	s->take_over_until = pt_now(&s->proxy->clock) + TAKE_OVER_US;
+	/* The reader that asked must not wait for the end of a long poll. */
+	if (s->call != NULL && s->wait_ms > WAIT_MS)
+		source_check(s);
 	check_reader(s);
 }
 
@@ -324,9 +347,11 @@
 	s->nonreader = !is_reader(s);
 	if (s->nonreader && s->proxy->rtab == NULL)
 		return proxy_jitter(s->proxy, NO_CONFIG_US);
-	if (s->nonreader)
+	if (s->nonreader && r->whole)
 		return nonreader_delay(s);
-	return s->next >= 0 && r->records->len > 0 ? READ_GAP_US : 0;
+	if (s->next < 0 || r->records->len == 0)
+		return s->nonreader && s->next >= 0 ? READ_GAP_US : 0;
+	return beacons_sending(s->proxy->beacons) ? SENDER_GAP_US : READ_GAP_US;
 }
 
 static void
@@ -348,12 +373,14 @@
 	s->take_over_until = 0;
 	g_clear_pointer(&s->asked_by, g_free);
 	/* The readers find out when the store is back. */
-	s->nonreader = s->proxy->rtab != NULL && !is_reader(s);
+	s->nonreader =
+	    s->proxy->rtab != NULL && !memb_elected(s->proxy->memb, N_READERS);
 	if (s->nonreader)
 		t = nonreader_delay(s);
 	else
 		t = (gint64)((double)t *
 			     (0.5 + g_rand_double(s->proxy->rand) / 2));
+	beacons_failed(s->proxy->beacons, pt_now(&s->proxy->clock) + t);
 	s->timer = sys_after(t, read_store, s);
 }
 
@@ -435,6 +462,23 @@
 	s->expired = FALSE;
 }
 
+/*
+ * Reports that the configuration was current.  A read that the store held open
+ * until the end of its wait found no newer version at that time.
+ */
+static void
+report_read(struct source *s)
+{
+	gint64 took = pt_now(&s->proxy->clock) - s->read_at;
+	gint64 wait = s->wait_ms * G_TIME_SPAN_MILLISECOND;
+
+	rtab_fresh_read(&s->proxy->fresh, s->read_at);
+	if (took >= wait)
+		beacons_read(s->proxy->beacons, s->read_at + wait, took - wait);
+	else
+		beacons_read(s->proxy->beacons, s->read_at, -1);
+}
+
 /*
  * The store always keeps the newest record: the next call reads that one if the
  * records at the next offset are gone.
@@ -443,9 +487,10 @@
 on_records(void *ctx, const struct plat_records *r, const GError *err)
 {
 	struct source *s = ctx;
+	gboolean current;
 	gint64 delay;
 
-	s->reading = FALSE;
+	s->call = NULL;
 	if (err != NULL) {
 		/* The lost response may have reported expired records. */
 		s->next = -1;
@@ -461,10 +506,14 @@
 		read_newest(s);
 		return;
 	}
-	if (r->whole && !s->refused && s->proxy->rtab != NULL)
-		rtab_fresh_read(&s->proxy->fresh, s->read_at);
+	current = r->whole && !s->refused && s->proxy->rtab != NULL;
+	if (current)
+		report_read(s);
 	set_next(s, r);
 	delay = read_delay(s, r);
+	if (!current)
+		beacons_failed(s->proxy->beacons,
+		    pt_now(&s->proxy->clock) + nonreader_delay(s));
 	s->paused = delay > 0;
 	s->timer = sys_after(delay, read_store, s);
 }
@@ -472,10 +521,10 @@
 static void
 read_newest(struct source *s)
 {
-	s->reading = TRUE;
 	s->read_at = pt_now(&s->proxy->clock);
-	plat_store_read_newest(s->proxy->store, plat_topic_config(), NULL,
-	    NEWEST_MS, on_records, s);
+	s->wait_ms = 0;
+	s->call = plat_store_read_newest(s->proxy->store, plat_topic_config(),
+	    NULL, NEWEST_MS, on_records, s);
 }
 
 /*
@@ -488,10 +537,15 @@
 {
 	gint64 revoke = s->proxy->set->revoke;
 
-	if (revoke == 0 || !memb_elected(s->proxy->memb, 1))
+	if (beacons_sending(s->proxy->beacons))
+		return beacons_wait_ms(s->proxy->beacons);
+	if (revoke > 0 && memb_elected(s->proxy->memb, 1))
+		return (guint)MIN(
+		    WAIT_MS, revoke / REVOKE_DIV / G_TIME_SPAN_MILLISECOND);
+	if (s->proxy->beacons == NULL ||
+	    !memb_elected(s->proxy->memb, N_READERS))
 		return WAIT_MS;
-	return (guint)MIN(
-	    WAIT_MS, revoke / REVOKE_DIV / G_TIME_SPAN_MILLISECOND);
+	return LONG_WAIT_MS;
 }
 
 static void
@@ -507,10 +561,10 @@
 	if (s->asked_by != NULL || s->paused)
 		wait = 0;
 	s->paused = FALSE;
-	s->reading = TRUE;
 	s->read_at = pt_now(&s->proxy->clock);
-	plat_store_read(s->proxy->store, plat_topic_config(), s->next, wait,
-	    wait + READ_MARGIN_MS, on_records, s);
+	s->wait_ms = wait;
+	s->call = plat_store_read(s->proxy->store, plat_topic_config(), s->next,
+	    wait, wait + READ_MARGIN_MS, on_records, s);
 }
 
 /* ---- fetches from other nodes ---- */
@@ -584,7 +638,7 @@
 	 * The store may hold a version that no node has.  After a node that
 	 * does not respond, a second one would make the version too late.
 	 */
-	if ((++s->empty_fetches > 1 || err != NULL) && !s->reading) {
+	if ((++s->empty_fetches > 1 || err != NULL) && s->call == NULL) {
 		sys_cancel(&s->timer);
 		read_store(s);
 	}
--- a/cmd/ptproxy/stats.c
+++ b/cmd/ptproxy/stats.c
@@ -52,6 +52,7 @@
 	[STAT_LIMIT_UNKNOWN] = "limit_unknown_total",
 	[STAT_KEYS_UNCERTAIN] = "keys_uncertain_total",
 	[STAT_STALLED] = "stalled_total",
+	[STAT_STALE_READS] = "stale_reads_total",
 };
 
 struct stats *
@@ -117,6 +118,8 @@
 	g_string_append_printf(out,
 	    "ptproxy_config_version %" G_GINT64_FORMAT "\n"
 	    "ptproxy_config_age_seconds %.3f\n"
+	    "ptproxy_beacon_age_seconds %.3f\n"
+	    "ptproxy_beacon_sender %d\n"
 	    "ptproxy_organisations %u\n"
 	    "ptproxy_members %u\n"
 	    "ptproxy_slots %d\nptproxy_running %d\nptproxy_queued %d\n"
@@ -128,6 +131,8 @@
 	    "ptproxy_log_lines_dropped_total %" G_GUINT64_FORMAT "\n",
 	    p->rtab != NULL ? rtab_version(p->rtab) : 0,
 	    (double)keys_config_age(p) / G_TIME_SPAN_SECOND,
+	    (double)beacons_age(p->beacons) / G_TIME_SPAN_SECOND,
+	    beacons_sending(p->beacons),
 	    p->rtab != NULL ? rtab_n_orgs(p->rtab) : 0, memb_count(p->memb),
 	    r.load.slots, r.load.running, r.load.queued,
 	    plat_store_calls(p->store), plat_store_era(p->store),
--- a/rpc/pt.h
+++ b/rpc/pt.h
@@ -206,6 +206,7 @@
 	PT_SPREAD = 3,
 	PT_SUSPECTS = 4,
 	PT_DEPARTURES = 5,
+	PT_BEACON = 6,
 };
 typedef enum pt_gossip_kind pt_gossip_kind;
 
@@ -262,6 +263,20 @@
 };
 typedef struct pt_departures pt_departures;
 
+struct pt_beacon {
+	int proto;
+	pt_gossip_kind kind;
+	pt_name from;
+	bool_t ask;
+	quad_t origin;
+	u_int serial;
+	u_int hops;
+	quad_t vers;
+	u_int age_ms;
+	u_int delay_ms;
+};
+typedef struct pt_beacon pt_beacon;
+
 struct pt_members_args {
 	int proto;
 	pt_name from;
@@ -697,6 +712,7 @@
 extern  bool_t xdr_pt_suspects (XDR *, pt_suspects*);
 extern  bool_t xdr_pt_departure (XDR *, pt_departure*);
 extern  bool_t xdr_pt_departures (XDR *, pt_departures*);
+extern  bool_t xdr_pt_beacon (XDR *, pt_beacon*);
 extern  bool_t xdr_pt_members_args (XDR *, pt_members_args*);
 extern  bool_t xdr_pt_members_res (XDR *, pt_members_res*);
 extern  bool_t xdr_pt_subtree (XDR *, pt_subtree*);
@@ -751,6 +767,7 @@
 extern bool_t xdr_pt_suspects ();
 extern bool_t xdr_pt_departure ();
 extern bool_t xdr_pt_departures ();
+extern bool_t xdr_pt_beacon ();
 extern bool_t xdr_pt_members_args ();
 extern bool_t xdr_pt_members_res ();
 extern bool_t xdr_pt_subtree ();
--- a/rpc/pt.x
+++ b/rpc/pt.x
@@ -178,7 +178,8 @@
 	PT_SPREAD = 3,
 	/* Not a pt_gossip, but: */
 	PT_SUSPECTS = 4,	/* a pt_suspects */
-	PT_DEPARTURES = 5	/* a pt_departures */
+	PT_DEPARTURES = 5,	/* a pt_departures */
+	PT_BEACON = 6		/* a pt_beacon */
 };
 
 struct pt_gossip {
@@ -226,6 +227,23 @@
 	pt_departure list<PT_DEPARTURES_MAX>;
 };
 
+/*
+ * How recent the configuration of a node is known to be.  Starts like a
+ * pt_gossip; "kind" is PT_BEACON.
+ */
+struct pt_beacon {
+	int proto;
+	pt_gossip_kind kind;
+	pt_name from;
+	bool ask;		/* a more recent one is asked for */
+	hyper origin;		/* process that read the store, 0: none known */
+	unsigned serial;	/* of the origin's beacons */
+	unsigned hops;		/* nodes that have relayed it */
+	hyper vers;		/* newest version at the store */
+	unsigned age_ms;	/* time since it was the newest */
+	unsigned delay_ms;	/* time that the store took to respond */
+};
+
 struct pt_members_args {
 	int proto;
 	pt_name from;
--- a/rpc/pt_xdr.c
+++ b/rpc/pt_xdr.c
@@ -448,6 +448,34 @@
 	return TRUE;
 }
 
+bool_t
+xdr_pt_beacon (XDR *xdrs, pt_beacon *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->proto))
+		 return FALSE;
+	 if (!xdr_pt_gossip_kind (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_pt_name (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->ask))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->origin))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->serial))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->hops))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->vers))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->delay_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_pt_members_args (XDR *xdrs, pt_members_args *objp)
 {
--- a/test/source_test.c
+++ b/test/source_test.c
@@ -76,6 +76,7 @@
 	plat_done_cb done;
 	void *ctx;
 	gboolean newest, config;
+	gboolean polling; /* on store.polls */
 	guint from;
 	guint timer;
 	gint64 expires; /* the caller's time-out */
@@ -129,6 +130,7 @@
 		end -= MIN(store.behind, end);
 	r.expired = !c->newest && (c->from < store.oldest || c->from > store.n);
 	r.era = store.era;
+	r.whole = !r.expired;
 	for (i = c->newest ? MAX(end, 1) - 1 : c->from;
 	     c->config && c->err == NULL && !r.expired && i < end; i++)
 		add_record(r.records, store.version[i], i);
@@ -151,6 +153,7 @@
 {
 	struct pending *c = arg;
 
+	c->polling = FALSE;
 	LIST_REMOVE(c, poll);
 	respond(c);
 }
@@ -173,6 +176,7 @@
 		if (fault_of(c->from_node) != UP)
 			continue;
 		LIST_REMOVE(c, poll);
+		c->polling = FALSE;
 		sys_cancel(&c->timer);
 		c->timer = sys_after(store.delay, respond, c);
 	}
@@ -190,6 +194,7 @@
 	c->from_node = s;
 	if (fault == UP) {
 		if (wait_ms > 0 && c->from >= store.n - store.rewind) {
+			c->polling = TRUE;
 			LIST_INSERT_HEAD(&store.polls, c, poll);
 			c->timer = sys_after(wait_ms * MS, poll_timeout, c);
 			return;
@@ -218,6 +223,7 @@
 		if (fault_of(c->from_node) == UP)
 			continue;
 		LIST_REMOVE(c, poll);
+		c->polling = FALSE;
 		c->err = g_error_new(PT_ERROR, PT_ERROR_UNKNOWN, "cut");
 		sys_cancel(&c->timer);
 		/* For a few nodes, a silent store leaves connections open. */
@@ -270,7 +276,7 @@
 	return "config";
 }
 
-void
+struct plat_call *
 plat_store_read_newest(struct plat_store *s, const char *topic,
     const char *after, guint timeout_ms, plat_records_cb cb, void *ctx)
 {
@@ -281,9 +287,10 @@
 	c->records = cb;
 	c->ctx = ctx;
 	store_call(c, s, 0, timeout_ms);
+	return (struct plat_call *)(void *)c;
 }
 
-void
+struct plat_call *
 plat_store_read(struct plat_store *s, const char *topic, gint64 from,
     guint wait_ms, guint timeout_ms, plat_records_cb cb, void *ctx)
 {
@@ -294,6 +301,19 @@
 	c->records = cb;
 	c->ctx = ctx;
 	store_call(c, s, wait_ms, timeout_ms);
+	return (struct plat_call *)(void *)c;
+}
+
+void
+plat_store_cancel(struct plat_call *call)
+{
+	struct pending *c = (struct pending *)(void *)call;
+
+	if (c->polling)
+		LIST_REMOVE(c, poll);
+	sys_cancel(&c->timer);
+	g_clear_error(&c->err);
+	g_free(c);
 }
 
 void
@@ -815,6 +835,7 @@
 	char name[16], host[16], domain[8];
 	gboolean cut;
 	gboolean deaf; /* does not respond to fetches */
+	gboolean dark; /* sends nothing and receives nothing */
 	guint64 lost; /* nodes whose next fetch from it is lost, a bit each */
 	guint ticks;
 };
@@ -1014,8 +1035,9 @@
 {
 	struct message *m;
 	struct mesh_node *to = mesh_by_host(host);
+	const struct mesh_node *from = ctx;
 
-	if (to == NULL)
+	if (to == NULL || to->dark || from->dark)
 		return;
 	m = g_new0(struct message, 1);
 	m->to = to;
@@ -1051,8 +1073,9 @@
 	struct pt_members_res members = { 0 };
 	struct pt_limit_res limit = { 0 };
 
-	if ((proc == PT_TABLE || proc == PT_LIMIT) &&
-	    (to->deaf || (to->lost & bit) != 0)) {
+	if (to->dark || from->dark ||
+	    ((proc == PT_TABLE || proc == PT_LIMIT) &&
+		(to->deaf || (to->lost & bit) != 0))) {
 		struct lost_call *c = g_new0(struct lost_call, 1);
 
 		to->lost &= ~bit;
@@ -1127,8 +1150,10 @@
 	n->set.first_start = TRUE;
 	n->set.n_seeds = 1;
 	n->set.store_parts = PARTS;
+	n->set.apply = PART_IN_FORCE_US;
 	n->set.peer.host = n->host;
 	n->dgram.send = mesh_send;
+	n->dgram.ctx = n;
 	x->set = &n->set;
 	x->clock = sys_clock;
 	x->rand = o.rand = g_rand_new_with_seed(100 + i);
@@ -1150,6 +1175,7 @@
 	x->backend = backend_new(x);
 	x->adopt = adopt_new(x);
 	x->store = (struct plat_store *)(void *)n;
+	x->beacons = beacons_new(x);
 	x->source = source_new(x);
 	x->discovery = discovery_new(x);
 	x->limits = limits_new(x);
@@ -1185,6 +1211,7 @@
 		x = &mesh[i].p;
 		limits_free(x->limits);
 		source_free(x->source);
+		beacons_free(x->beacons);
 		discovery_free(x->discovery);
 		sys_cancel(&x->rebuild_timer);
 		adopt_free(x->adopt);
@@ -1201,17 +1228,21 @@
 	}
 }
 
-/* Advances until the version is in force at every node; returns the time. */
+/*
+ * Advances until the version is in force at every node, "sound": that has the
+ * store; returns the time.
+ */
 static gint64
-mesh_in_force(gint64 version, gint64 max)
+in_force_after(gint64 version, gint64 max, gboolean sound)
 {
 	gint64 since = paused_now;
 	guint i;
 
 	do {
 		for (i = 0; i < n_mesh; i++)
-			if (mesh[i].p.rtab == NULL ||
-			    rtab_version(mesh[i].p.rtab) < version)
+			if ((!sound || !mesh[i].cut) &&
+			    (mesh[i].p.rtab == NULL ||
+				rtab_version(mesh[i].p.rtab) < version))
 				break;
 		if (i == n_mesh)
 			break;
@@ -1220,6 +1251,12 @@
 	return paused_now - since;
 }
 
+static gint64
+mesh_in_force(gint64 version, gint64 max)
+{
+	return in_force_after(version, max, FALSE);
+}
+
 /* Cuts the nodes that are not in the set, and fails their polls. */
 static void
 mesh_cut_others(guint64 served, enum fault fault)
@@ -1305,6 +1342,86 @@
 }
 END_TEST
 
+/* TRUE: the node has a read open at the store. */
+static gboolean
+holds_poll(const struct mesh_node *n)
+{
+	const struct pending *c;
+
+	LIST_FOREACH(c, &store.polls, poll)
+	if (c->from_node == n->p.store)
+		return TRUE;
+	return FALSE;
+}
+
+/* The nodes that read the store lose it, or "dark": end without notice. */
+static void
+lose_readers(enum fault fault, gboolean dark)
+{
+	guint i, left = 0;
+
+	for (i = 0; i < n_mesh; i++) {
+		if (holds_poll(&mesh[i])) {
+			mesh[i].cut = TRUE;
+			mesh[i].dark = dark;
+		}
+		left += !mesh[i].cut;
+	}
+	ck_assert_uint_gt(left, 0);
+	store.cut_fault = fault;
+	cut_polls();
+}
+
+static void
+restore_readers(void)
+{
+	guint i;
+
+	for (i = 0; i < n_mesh; i++)
+		mesh[i].cut = mesh[i].dark = FALSE;
+	advance(20 * SECOND);
+}
+
+/*
+ * Guards against a change that nobody reads in time because all the nodes that
+ * read the store have just lost it, or have ended, without notice, and then
+ * those that took over, too: a node whose path to the store is sound has the
+ * change within the bound.
+ */
+START_TEST(change_is_in_force_as_all_readers_lose_the_store)
+{
+	static const enum fault kinds[] = { SILENT, LOST, BUSY, DOWN };
+	static const guint sizes[][2] = { { 18, 3 }, { 11, 3 }, { 60, 5 } };
+	const gboolean dark = _i >= 3;
+	GRand *rand = g_rand_new_with_seed(47);
+	gint64 version = 6, took;
+	guint k;
+
+	mesh_start(sizes[_i % 3][0], sizes[_i % 3][1]);
+	for (k = 0; k < 40; k++) {
+		advance(g_rand_int_range(rand, 0, 4000) * MS);
+		lose_readers(dark ? SILENT : kinds[k % 4], dark);
+		/* Before, or while, another node takes over. */
+		advance(g_rand_int_range(rand, 0, 2000) * MS);
+		add_version(++version);
+		took = in_force_after(version, PART_IN_FORCE_US, TRUE);
+		ck_assert_msg(took <= PART_IN_FORCE_US,
+		    "play %u: %d ms as they were lost", k, (int)(took / MS));
+		if (k % 2 == 0) {
+			lose_readers(kinds[k % 4], dark);
+			add_version(++version);
+			took = in_force_after(version, PART_IN_FORCE_US, TRUE);
+			ck_assert_msg(took <= PART_IN_FORCE_US,
+			    "play %u: %d ms as those that took over were lost",
+			    k, (int)(took / MS));
+		}
+		restore_readers();
+	}
+	mesh_stop();
+	g_rand_free(rand);
+}
+END_TEST
+
 /*
  * Guards against a change that is late because the nodes that are asked for it
  * do not respond, one after the other: half of those of each failure domain.
@@ -1693,6 +1810,8 @@
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_test(t, change_is_in_force_where_few_reach_the_store);
 	tcase_add_loop_test(t, change_is_in_force_in_larger_meshes, 0, 3);
+	tcase_add_loop_test(
+	    t, change_is_in_force_as_all_readers_lose_the_store, 0, 3);
 	tcase_add_test(t, change_is_in_force_beside_nodes_that_do_not_respond);
 	tcase_add_test(t, change_is_in_force_beside_replaced_machines);
 	tcase_add_loop_test(t, change_is_in_force_after_restores, 0, 10);
