source_test: a change as the readers end, and at the last node

A node that is not elected read only after its own probes had made the readers suspect, or after its 20 s.

--- a/test/source_test.c
+++ b/test/source_test.c
@@ -1422,6 +1422,33 @@
 }
 END_TEST
 
+/*
+ * Guards against a change that nobody reads because one node alone is left: the
+ * others have ended, and it is not one of the readers.
+ */
+START_TEST(change_is_in_force_at_the_last_node)
+{
+	gint64 version = 6, took;
+	guint i, k;
+
+	mesh_start(11, 3);
+	for (k = 0; k < n_mesh; k++) {
+		if (holds_poll(&mesh[k]))
+			continue;
+		for (i = 0; i < n_mesh; i++)
+			mesh[i].cut = mesh[i].dark = i != k;
+		store.cut_fault = SILENT;
+		cut_polls();
+		add_version(++version);
+		took = in_force_after(version, PART_IN_FORCE_US, TRUE);
+		ck_assert_msg(took <= PART_IN_FORCE_US, "node %u: %d ms", k,
+		    (int)(took / MS));
+		restore_readers();
+	}
+	mesh_stop();
+}
+END_TEST
+
 /*
  * Guards against a change that is late because the nodes that are asked for it
  * do not respond, one after the other: half of those of each failure domain.
@@ -1811,7 +1838,8 @@
 	tcase_add_test(t, change_is_in_force_where_few_reach_the_store);
 	tcase_add_loop_test(t, change_is_in_force_in_larger_meshes, 0, 3);
 	tcase_add_loop_test(
-	    t, change_is_in_force_as_all_readers_lose_the_store, 0, 3);
+	    t, change_is_in_force_as_all_readers_lose_the_store, 0, 6);
+	tcase_add_test(t, change_is_in_force_at_the_last_node);
 	tcase_add_test(t, change_is_in_force_beside_nodes_that_do_not_respond);
 	tcase_add_test(t, change_is_in_force_beside_replaced_machines);
 	tcase_add_loop_test(t, change_is_in_force_after_restores, 0, 10);
