dist: nodes notice that all readers have lost the log

What callers would see: a change that the log has accepted is not in force anywhere.

Cause: children follow their parents, which answer that there is nothing new, and a reader that has lost the log keeps its role. Only a node without a working parent reads the log.

Change: the beacons of core/beacon, with the bound of 6 s. A node that hears none reads the log itself after 3.0 to 4.2 s; in calm one node reads it in cycles of 2.4 s for all.

In calm 12 readers and the sender stay within 21 reads each and 52 more in 100 s. The fake log of the tests delivered a record to a node that it had cut off, as an error at once; it no longer does.

--- a/bench/fakenet/fakelog.c
+++ b/bench/fakenet/fakelog.c
@@ -161,7 +161,8 @@
 	g_ptr_array_add(l->entries[s], e);
 	for (i = l->waiting->len; i > 0; i--) {
 		c = l->waiting->pdata[i - 1];
-		if (c->stream != s)
+		/* A record does not get through to a node that is cut off. */
+		if (c->stream != s || f->nodes[c->from].log_cut)
 			continue;
 		g_ptr_array_remove_index_fast(l->waiting, i - 1);
 		if (!c->done &&
@@ -172,6 +173,20 @@
 	return fn_next_offset(l, s) - 1;
 }
 
+gboolean
+fn_reads_log(const struct fn *f, guint i)
+{
+	const struct fn_call *c;
+	guint k;
+
+	for (k = 0; k < f->log.waiting->len; k++) {
+		c = f->log.waiting->pdata[k];
+		if (c->from == i && !c->done)
+			return TRUE;
+	}
+	return FALSE;
+}
+
 static void
 append_answer(struct fn *f, void *arg)
 {
--- a/bench/fakenet/fakenet.h
+++ b/bench/fakenet/fakenet.h
@@ -123,6 +123,8 @@
 gboolean fn_all_current(struct fn *);
 gboolean fn_all_ready(struct fn *);
 guint64 fn_log_requests(struct fn *, enum dist_log_kind);
+/* The log holds a read of this node open. */
+gboolean fn_reads_log(const struct fn *, guint i);
 
 #ifdef FN_PRIVATE
 /* ---- shared by the files of this library ---- */
--- a/bench/fakenet/fakenodes.c
+++ b/bench/fakenet/fakenodes.c
@@ -36,6 +36,15 @@
 	return ((struct fn *)ctx)->now;
 }
 
+static void
+message(void *ctx, enum pt_gossip_kind kind, const void *data, gsize len)
+{
+	struct fn_node *n = ctx;
+
+	if (kind == PT_BEACON && n->dist != NULL)
+		dist_beacon_heard(n->dist, data, len);
+}
+
 static struct memb *
 new_memb(struct fn_node *n)
 {
@@ -60,6 +69,7 @@
 	o.rpc = &n->rpc;
 	o.position = fn_store_position;
 	o.changed = member_changed;
+	o.message = message;
 	o.ctx = n;
 	return memb_new(&o);
 }
--- a/cmd/ptnode/sync.c
+++ b/cmd/ptnode/sync.c
@@ -166,6 +166,10 @@
 
 	if (kind == PT_SUSPECTS && n->quarantine != NULL)
 		quarantine_heard(n->quarantine, data, len);
+	else if (kind == PT_BEACON && n->dist != NULL) {
+		dist_beacon_heard(n->dist, data, len);
+		sys_ticker_kick(n->dist_ticker);
+	}
 }
 
 /* The datagram may make an update or an answer to a probe due at once. */
--- a/core/dist/dist.c
+++ b/core/dist/dist.c
@@ -7,6 +7,7 @@
 #include "pt.h"
 #include "port.h"
 #include "memb.h"
+#include "beacon.h"
 #define DIST_PRIVATE
 #include "dist.h"
 
@@ -32,6 +33,7 @@
 	dist_link_init(d, &d->parent, FALSE);
 	dist_link_init(d, &d->catchup, TRUE);
 	d->seed_read_due = now + g_rand_double(o->rand) * DIST_US;
+	dist_beacons_init(d);
 	d->direct_due = now + (1.0 + 4 * g_rand_double(o->rand)) * DIST_US;
 	return d;
 }
@@ -43,6 +45,7 @@
 	if (--d->refs > 0)
 		return;
 	g_assert(d->closed);
+	beacon_free(d->beacon);
 	g_free(d);
 }
 
@@ -91,6 +94,7 @@
 	due = MIN(due, dist_acks_tick(d, now));
 	due = MIN(due, dist_peer_tick(d, now));
 	due = MIN(due, dist_log_tick(d, now));
+	due = MIN(due, dist_beacons_tick(d, now));
 	due = MIN(due, dist_gap_tick(d, now));
 	due = MIN(due, dist_snapstream_tick(d, now));
 	due = MIN(due, dist_seeds_tick(d, now));
--- a/core/dist/dist.h
+++ b/core/dist/dist.h
@@ -60,6 +60,7 @@
 enum dist_log_kind {
 	DIST_LOG_TAIL, /* long poll of a reader */
 	DIST_LOG_DIRECT, /* read by a node without a working parent */
+	DIST_LOG_CHECK, /* read by a sender of beacons, or as none comes */
 	DIST_LOG_SNAPSHOT, /* reads and appends of stream "snapshots" */
 	DIST_LOG_SEED, /* reads and appends of stream "seeds" */
 	DIST_LOG_SUBMIT, /* appends of change sets */
@@ -89,6 +90,9 @@
  */
 gint64 dist_tick(struct dist *);
 
+/* Processes a message of kind PT_BEACON. */
+void dist_beacon_heard(struct dist *, const void *data, gsize len);
+
 /* The membership changed: the next tick recomputes the roles. */
 void dist_members_changed(struct dist *);
 
@@ -347,6 +351,8 @@
 	gboolean log_short; /* the log has lost records that this node holds */
 	gboolean direct_busy;
 	gint64 direct_due;
+	struct beacon *beacon;
+	gboolean check_busy; /* a read of DIST_LOG_CHECK is in progress */
 	gint64 scan_due; /* earliest next scan to load a snapshot */
 	guint catchup_fails; /* failures to catch up since the last such scan */
 
@@ -411,6 +417,21 @@
 gint64 dist_log_tick(struct dist *, gint64 now);
 void dist_log_result(struct dist *, const GError *);
 
+/* Starts a read of DIST_LOG_CHECK that the log may hold open. */
+void dist_check_log(struct dist *, guint wait_ms);
+
+/* beacons.c */
+void dist_beacons_init(struct dist *);
+gint64 dist_beacons_tick(struct dist *, gint64 now);
+/* The position advanced, or the node became ready. */
+void dist_beacons_advanced(struct dist *);
+/*
+ * A read of the log from offset "from" on, begun at "start" and held open for
+ * up to "wait", has ended; NULL: it failed.
+ */
+void dist_beacons_read(struct dist *, gint64 from, gint64 start, gint64 wait,
+    const struct pt_batch *);
+
 /* gap.c */
 void dist_gap_update(struct dist *, gint64 oldest);
 gint64 dist_gap_tick(struct dist *, gint64 now);
--- a/core/dist/logread.c
+++ b/core/dist/logread.c
@@ -30,8 +30,9 @@
 struct read_call {
 	struct dist *d;
 	guint gen;
-	gboolean direct;
+	enum dist_log_kind kind;
 	gint64 from; /* offset */
+	gint64 start, wait;
 };
 
 /* Records whether the log answers, and logs an event when that changes. */
@@ -114,8 +115,12 @@
 		dist_log_result(d, err);
 		if (b != NULL && err == NULL)
 			eval_batch(d, c->from, b);
-		if (c->direct)
+		dist_beacons_read(
+		    d, c->from, c->start, c->wait, err == NULL ? b : NULL);
+		if (c->kind == DIST_LOG_DIRECT)
 			d->direct_busy = FALSE;
+		else if (c->kind == DIST_LOG_CHECK)
+			d->check_busy = FALSE;
 		else if (c->gen == d->tail_gen)
 			tail_done(d, err == NULL ? b : NULL, err);
 	}
@@ -124,20 +129,29 @@
 }
 
 static void
-read_config(struct dist *d, gboolean direct, guint wait_ms)
+read_config(struct dist *d, enum dist_log_kind kind, guint wait_ms)
 {
 	struct read_call *c = g_new0(struct read_call, 1);
 
 	c->d = d;
-	c->direct = direct;
-	c->gen = direct ? 0 : ++d->tail_gen;
+	c->kind = kind;
+	c->gen = kind == DIST_LOG_TAIL ? ++d->tail_gen : 0;
+	c->start = pt_now(d->o.clock);
+	c->wait = wait_ms * DIST_MS;
 	d->refs++;
-	d->stats.log_requests[direct ? DIST_LOG_DIRECT : DIST_LOG_TAIL]++;
+	d->stats.log_requests[kind]++;
 	c->from = dist_position(d) + 1;
 	d->o.log->read(
 	    d->o.log->ctx, "config", c->from, READ_MAX, wait_ms, read_done, c);
 }
 
+void
+dist_check_log(struct dist *d, guint wait_ms)
+{
+	d->check_busy = TRUE;
+	read_config(d, DIST_LOG_CHECK, wait_ms);
+}
+
 /* A member can provide the configuration to a booting node. */
 static gboolean
 peer_serves(const struct dist *d)
@@ -169,7 +183,7 @@
 		return now + PEERS_CHECK_US;
 	d->tail_busy = TRUE;
 	d->tail_start = now;
-	read_config(d, FALSE, DIST_POLL_MS);
+	read_config(d, DIST_LOG_TAIL, DIST_POLL_MS);
 	return G_MAXINT64;
 }
 
@@ -196,7 +210,7 @@
 	d->direct_due =
 	    now + DIST_DIRECT_READ_US + g_rand_double(d->o.rand) * DIST_US;
 	d->direct_busy = TRUE;
-	read_config(d, TRUE, 0);
+	read_config(d, DIST_LOG_DIRECT, 0);
 	return d->direct_due;
 }
 
--- a/core/dist/records.c
+++ b/core/dist/records.c
@@ -102,6 +102,7 @@
 		d->behind_since = 0;
 		d->behind_timeouts = 0;
 	}
+	dist_beacons_advanced(d);
 	dist_wake(d);
 	dist_submit_check(d);
 	dist_ack_changed(d);
@@ -153,6 +154,7 @@
 	d->ready = TRUE;
 	pt_event(d->o.events, PT_LEVEL_INFO, "ready",
 	    "position=%" G_GINT64_FORMAT, dist_position(d));
+	dist_beacons_advanced(d);
 	dist_wake(d);
 	dist_ack_changed(d);
 	if (d->o.changed != NULL)
--- a/test/dist_test.c
+++ b/test/dist_test.c
@@ -47,10 +47,17 @@
 {
 	struct fn_node *n = ctx;
 	struct pt_gossip g = { 0 }, ack = { 0 };
+	struct pt_beacon beacon = { 0 };
 	GBytes *b;
 	gsize size;
 	const void *p;
 
+	if (pt_decode(
+		(xdrproc_t)xdr_pt_beacon, &beacon, sizeof(beacon), data, len)) {
+		ck_assert_int_eq(beacon.kind, PT_BEACON);
+		xdr_free((xdrproc_t)xdr_pt_beacon, (char *)&beacon);
+		return;
+	}
 	ck_assert(
 	    pt_decode((xdrproc_t)xdr_pt_gossip, &g, sizeof(g), data, len));
 	if (g.kind == PT_PING) {
@@ -768,6 +775,56 @@
 }
 END_TEST
 
+/* The newest record is in force at all nodes that reach the log. */
+static gboolean
+sound_nodes_current(struct fn *f)
+{
+	gint64 newest =
+	    f->log.oldest[FN_CONFIG] + f->log.entries[FN_CONFIG]->len - 1;
+	guint i;
+
+	for (i = 0; i < f->n; i++)
+		if (f->nodes[i].up && !f->nodes[i].log_cut &&
+		    f->nodes[i].s.position < newest)
+			return FALSE;
+	return TRUE;
+}
+
+/*
+ * Guards against a change that does not come into force because all nodes that
+ * read the log have lost it, without notice, while the others reach it and
+ * follow them; and then those that read in their place.
+ */
+START_TEST(all_readers_lose_the_log)
+{
+	struct fn *f = start_fleet(48, 60, 6, 5);
+	guint64 before;
+	guint i, k;
+
+	for (k = 0; k < 6; k++) {
+		for (i = 0; i < f->n; i++)
+			f->nodes[i].log_cut |= fn_reads_log(f, i);
+		fn_run(f, k * 700 * FN_MS);
+		fn_append_change(f, k);
+		ck_assert_msg(fn_until(f, sound_nodes_current, TARGET_US) >= 0,
+		    "play %u", k);
+		if (k % 2 == 0)
+			continue;
+		for (i = 0; i < f->n; i++)
+			f->nodes[i].log_cut = FALSE;
+		ck_assert_int_ge(fn_until(f, fn_all_current, TARGET_US), 0);
+		fn_run(f, 60 * FN_US);
+	}
+	/* In calm, one node reads the log in addition, in cycles of 2.4 s. */
+	before = log_reads(f) + fn_log_requests(f, DIST_LOG_CHECK);
+	fn_run(f, 100 * FN_US);
+	ck_assert_uint_le(
+	    log_reads(f) + fn_log_requests(f, DIST_LOG_CHECK) - before,
+	    12 * (100 / 5 + 1) + 100 * 10 / 24 + 10);
+	fn_free(f);
+}
+END_TEST
+
 /* Guards against an idle load on the log that grows with the mesh. */
 START_TEST(idle_log_requests)
 {
@@ -1283,6 +1340,7 @@
 	tcase_add_test(u, all_readers_silent);
 	tcase_add_test(u, most_nodes_restart);
 	tcase_add_test(u, idle_log_requests);
+	tcase_add_test(u, all_readers_lose_the_log);
 	tcase_add_test(u, paused_reader);
 	tcase_add_test(u, partition_of_an_hour);
 	tcase_add_test(u, boot_by_seeds_stream);
