h1: no further request is parsed for a peer that reads no responses

What callers would see: one caller that sends requests on a connection and reads no response makes the node that it talks to run out of memory; the requests of all others there end with it.

Cause: a response is queued and the next pipelined request is parsed at once, however much output is queued.

Change: a server connection whose queued output exceeds H1_LOW_WATER parses no further request until the peer has read; what was read ahead is parsed then.

Measured: h1_server_test caller_that_reads_nothing_is_not_served_ahead fails before (19.6 MB queued, 85 KB allowed), passes after, and all 4,000 responses arrive once the caller reads.

--- a/adapter/h1/conn.c
+++ b/adapter/h1/conn.c
@@ -41,18 +41,25 @@
 static void on_timer(void *);
 
 static guint n_unsent;
+static gsize unsent_bytes;
 
 static void
 count_unsent(struct h1_conn *c)
 {
-	gboolean unsent =
-	    c->server && !c->freed && !c->failed && h1_queued(c) > 0;
+	gsize unsent =
+	    c->server && !c->freed && !c->failed ? h1_queued(c) : 0;
 
-	if (unsent != c->unsent)
-		n_unsent += unsent ? 1 : -1;
+	n_unsent += (unsent > 0) - (c->unsent > 0);
+	unsent_bytes += unsent - c->unsent;
 	c->unsent = unsent;
 }
 
+gsize
+h1_unsent_bytes(void)
+{
+	return unsent_bytes;
+}
+
 guint
 h1_unsent(void)
 {
@@ -87,6 +94,12 @@
 	*peak = 0;
 }
 
+gboolean
+h1_congested(const struct h1_conn *c)
+{
+	return c->server && !c->parse.started && h1_queued(c) > H1_LOW_WATER;
+}
+
 static void
 update_watch(struct h1_conn *c)
 {
@@ -97,7 +110,8 @@
 	if (c->connecting || (h1_queued(c) > 0 && !c->failed))
 		cond |= G_IO_OUT;
 	if (!c->connecting && !c->paused && !c->eof &&
-	    (c->expecting || c->in->len < READ_AHEAD_MAX))
+	    ((c->expecting && !h1_congested(c)) ||
+		c->in->len < READ_AHEAD_MAX))
 		cond |= G_IO_IN;
 	c->cond = cond;
 	sys_watch_set(c->watch, cond);
@@ -395,8 +409,13 @@
 	}
 	flush(c);
 	finish_output(c);
-	if (before > H1_LOW_WATER && h1_queued(c) <= H1_LOW_WATER &&
-	    c->ops->drained != NULL && !c->finishing)
+	if (before <= H1_LOW_WATER || h1_queued(c) > H1_LOW_WATER ||
+	    c->finishing)
+		return;
+	/* A request that was held back is parsed on the next turn. */
+	if (c->server && c->expecting && c->in->len > 0 && !c->failed)
+		set_timer(c, 0);
+	if (c->ops->drained != NULL)
 		c->ops->drained(c->ctx);
 }
 
--- a/adapter/h1/conn.h
+++ b/adapter/h1/conn.h
@@ -46,7 +46,7 @@
 	gsize head_max;
 	gint64 body_max;
 	GSocket *sock;
-	gboolean unsent; /* counted by h1_unsent() */
+	gsize unsent; /* bytes counted by h1_unsent_bytes() */
 	struct sys_watch *watch;
 	GIOCondition cond; /* of the watch */
 	guint timer; /* connect or linger time-out, or deferred work */
@@ -75,5 +75,9 @@
 
 void h1_parse_init(struct h1_conn *);
 void h1_parse_clear(struct h1_conn *);
+/*
+ * Server: the peer has not read its responses, so no further request is parsed.
+ */
+gboolean h1_congested(const struct h1_conn *);
 gboolean h1_parse_run(struct h1_conn *);
 gboolean h1_parse_eof(struct h1_conn *);
--- a/adapter/h1/h1.h
+++ b/adapter/h1/h1.h
@@ -147,6 +147,8 @@
  * the socket, those that h1_finish() closes included.
  */
 guint h1_unsent(void);
+/* The bytes of that output. */
+gsize h1_unsent_bytes(void);
 /* Replaces the limits of the options, also for a message being read. */
 void h1_limits(struct h1_conn *, gsize head_max, gint64 body_max);
 /* TRUE stops reading, FALSE resumes it. */
--- a/adapter/h1/parse.c
+++ b/adapter/h1/parse.c
@@ -362,7 +362,7 @@
 {
 	gsize used;
 
-	while (c->expecting && c->in->len > 0) {
+	while (c->expecting && c->in->len > 0 && !h1_congested(c)) {
 		if (parse_part(c, &used) != H1_FAULT_NONE || c->freed ||
 		    c->finishing)
 			return FALSE;
--- a/test/h1_server_test.c
+++ b/test/h1_server_test.c
@@ -22,8 +22,11 @@
 	struct h1_request *request; /* without a response yet */
 	int requests, closed, bad;
 	GString *body;
+	const char *at_once; /* body of a response to each request, or NULL */
 } t;
 
+static void respond(const char *body, gboolean last);
+
 static void
 on_request(void *ctx, struct h1_request *r)
 {
@@ -32,6 +35,8 @@
 	g_string_assign(t.body, "");
 	g_string_append_len(
 	    t.body, (const char *)r->body->data, (gssize)r->body->len);
+	if (t.at_once != NULL)
+		respond(t.at_once, FALSE);
 }
 
 static void
@@ -189,6 +194,62 @@
 }
 END_TEST
 
+#define PIPELINED 4000
+#define RESPONSE_LEN 10000
+#define REQUEST "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+
+/* Sends the rest of the requests, as much as the socket takes. */
+static void
+send_pipelined(const GString *all, gsize *sent)
+{
+	gssize n;
+
+	if (*sent == all->len)
+		return;
+	n = g_socket_send(
+	    t.caller, all->str + *sent, all->len - *sent, NULL, NULL);
+	if (n > 0)
+		*sent += (gsize)n;
+}
+
+/*
+ * Guards against responses to pipelined requests that fill the memory because
+ * the caller reads none of them, and against the loss of those that are held
+ * back once it reads.
+ */
+START_TEST(caller_that_reads_nothing_is_not_served_ahead)
+{
+	char *body = g_strnfill(RESPONSE_LEN, 'x'), buf[65536];
+	GString *all = g_string_new(NULL);
+	gsize sent = 0, got = 0;
+	gssize n;
+	int i;
+
+	for (i = 0; i < PIPELINED; i++)
+		g_string_append(all, REQUEST);
+	t.at_once = body;
+	for (i = 0; i < 20000; i++) {
+		send_pipelined(all, &sent);
+		g_main_context_iteration(NULL, FALSE);
+		ck_assert_uint_le(
+		    h1_unsent_bytes(), H1_LOW_WATER + 2 * RESPONSE_LEN);
+	}
+	ck_assert_int_lt(t.requests, PIPELINED);
+	for (i = 0; got < (gsize)PIPELINED * RESPONSE_LEN; i++) {
+		ck_assert_int_lt(i, LOOP_ITERATIONS);
+		send_pipelined(all, &sent);
+		g_main_context_iteration(NULL, FALSE);
+		n = loop_recv(t.caller, buf, sizeof(buf));
+		ck_assert_int_ne(n, -2);
+		got += (gsize)MAX(n, 0);
+	}
+	UNTIL(t.requests == PIPELINED);
+	ck_assert_uint_eq(h1_unsent_bytes(), 0);
+	g_string_free(all, TRUE);
+	g_free(body);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -198,6 +259,7 @@
 	tcase_add_checked_fixture(c, setup, teardown);
 	tcase_add_test(c, responses_match_pipelined_requests);
 	tcase_add_test(c, response_to_head_has_no_body);
+	tcase_add_test(c, caller_that_reads_nothing_is_not_served_ahead);
 	tcase_add_test(c, closed_connections_are_reported_once);
 	tcase_add_test(c, malformed_and_oversized_requests_are_rejected);
 	suite_add_tcase(suite, c);
