h1: a server closes a connection whose peer takes no output

What callers would see: a caller that does not read the end of a response and keeps its connection open takes a descriptor and up to 256 KB of the node for as long as it likes; enough of them leave none for others.

Cause: nothing ended such a connection.

Change: a server connection ends 10 s after its peer last took a byte of the output that is queued.

Measured: h1_stall_test connection_ends_if_its_peer_reads_nothing fails before (2 of 2: still open after 12 s), passes after; slow_peer_gets_the_whole_response passes before and after.

--- a/Makefile
+++ b/Makefile
@@ -96,7 +96,7 @@
 $(PROXYTESTS:=.o): ALL += -Icmd/ptproxy
 
 # These tests advance the clock.
-PAUSEDTESTS = $(addprefix $B/test/,source_test stop_test keys_test)
+PAUSEDTESTS = $(addprefix $B/test/,source_test stop_test keys_test h1_stall_test)
 PAUSEDOBJ = $B/test/paused/paused.o
 $(PAUSEDTESTS): PARTS += $(PAUSEDOBJ)
 $(PAUSEDTESTS): $(PAUSEDOBJ)
--- a/adapter/h1/conn.c
+++ b/adapter/h1/conn.c
@@ -26,6 +26,8 @@
 #define READ_AHEAD_MAX (64 * 1024)
 /* A buffer that has held more than this is freed once it is empty. */
 #define BUFFER_KEEP_MAX 4096
+/* A server closes a connection whose peer takes no output for this time. */
+#define STALL_US (10 * G_TIME_SPAN_SECOND)
 /* Time for which input is discarded after the last byte of a response. */
 #define LINGER_US (1 * G_TIME_SPAN_SECOND)
 /*
@@ -43,27 +45,41 @@
 static guint n_unsent;
 static gsize unsent_bytes;
 
+static void on_stall_timer(void *);
+
 static void
 count_unsent(struct h1_conn *c)
 {
-	gsize unsent =
-	    c->server && !c->freed && !c->failed ? h1_queued(c) : 0;
+	gsize unsent = c->server && !c->freed && !c->failed ? h1_queued(c) : 0;
 
-	n_unsent += (unsent > 0) - (c->unsent > 0);
+	if (c->unsent == 0 && unsent > 0) {
+		n_unsent++;
+		c->taken_at = pt_now(&sys_clock);
+		c->stall_timer = sys_after(STALL_US, on_stall_timer, c);
+	} else if (c->unsent > 0 && unsent == 0) {
+		n_unsent--;
+		sys_cancel(&c->stall_timer);
+	}
 	unsent_bytes += unsent - c->unsent;
 	c->unsent = unsent;
 }
 
+guint
+h1_unsent(void)
+{
+	return n_unsent;
+}
+
 gsize
 h1_unsent_bytes(void)
 {
 	return unsent_bytes;
 }
 
-guint
-h1_unsent(void)
+gint64
+h1_stalled(const struct h1_conn *c)
 {
-	return n_unsent;
+	return c->unsent > 0 ? pt_now(&sys_clock) - c->taken_at : 0;
 }
 
 static void
@@ -110,8 +126,7 @@
 	if (c->connecting || (h1_queued(c) > 0 && !c->failed))
 		cond |= G_IO_OUT;
 	if (!c->connecting && !c->paused && !c->eof &&
-	    ((c->expecting && !h1_congested(c)) ||
-		c->in->len < READ_AHEAD_MAX))
+	    ((c->expecting && !h1_congested(c)) || c->in->len < READ_AHEAD_MAX))
 		cond |= G_IO_IN;
 	c->cond = cond;
 	sys_watch_set(c->watch, cond);
@@ -248,7 +263,7 @@
 			return FALSE;
 		}
 		*sent += (gsize)n;
-		c->last_active = pt_now(&sys_clock);
+		c->last_active = c->taken_at = pt_now(&sys_clock);
 	}
 	return TRUE;
 }
@@ -475,6 +490,22 @@
 	end_callback(c);
 }
 
+static void
+on_stall_timer(void *arg)
+{
+	struct h1_conn *c = arg;
+	gint64 left = STALL_US - h1_stalled(c);
+
+	c->stall_timer = 0;
+	if (left > 0) {
+		c->stall_timer = sys_after(left, on_stall_timer, c);
+		return;
+	}
+	c->refs++;
+	report_closed(c, H1_END_RESET, "the peer reads no response");
+	end_callback(c);
+}
+
 static void
 on_ready(void *arg, GIOCondition got)
 {
--- a/adapter/h1/conn.h
+++ b/adapter/h1/conn.h
@@ -47,6 +47,8 @@
 	gint64 body_max;
 	GSocket *sock;
 	gsize unsent; /* bytes counted by h1_unsent_bytes() */
+	gint64 taken_at; /* the peer last took output, or none was queued */
+	guint stall_timer;
 	struct sys_watch *watch;
 	GIOCondition cond; /* of the watch */
 	guint timer; /* connect or linger time-out, or deferred work */
--- a/adapter/h1/h1.h
+++ b/adapter/h1/h1.h
@@ -149,6 +149,8 @@
 guint h1_unsent(void);
 /* The bytes of that output. */
 gsize h1_unsent_bytes(void);
+/* Server: time since the peer last took output, 0: none is queued. */
+gint64 h1_stalled(const struct h1_conn *);
 /* Replaces the limits of the options, also for a message being read. */
 void h1_limits(struct h1_conn *, gsize head_max, gint64 body_max);
 /* TRUE stops reading, FALSE resumes it. */
