json: a text of many values is refused before it is parsed

What callers would see: one damaged answer of the store, or of the log, ends the process for lack of memory, and their requests on that machine with it.

Cause: answers of the store may have 4 MB and those of the log 8 MB, and json-glib takes up to 300 bytes for each value. Nesting was limited, the number of values was not.

--- a/adapter/httpio/log.c
+++ b/adapter/httpio/log.c
@@ -13,6 +13,8 @@
 
 /* Size limit of a response; a batch of the log is at most 4 MB. */
 #define RESPONSE_MAX (8 << 20)
+/* Largest answer to an append, in bytes: one number in JSON. */
+#define APPENDED_MAX 4096
 
 /* Long polls of several streams and appends run concurrently. */
 #define CONNECTIONS 16
@@ -93,7 +95,7 @@
 	gint64 off = 0;
 	const char *s = (const char *)b->data;
 
-	if (b->len > 0 && !pt_json_too_deep(s, b->len) &&
+	if (b->len > 0 && pt_json_excess(s, b->len) == NULL &&
 	    json_parser_load_from_data(p, s, b->len, NULL)) {
 		n = json_parser_get_root(p);
 		if (n != NULL && JSON_NODE_HOLDS_OBJECT(n))
@@ -246,18 +248,19 @@
 on_head(void *arg, const struct httpio_response *a, const GError *e)
 {
 	struct request *r = arg;
+	int max = r->append_cb != NULL ? APPENDED_MAX : RESPONSE_MAX;
 
 	if (e != NULL) {
 		on_failed(r, e);
 		return;
 	}
 	r->status = a->status;
-	if (a->length < 0 || a->length > RESPONSE_MAX)
+	if (a->length < 0 || a->length > max)
 		request_give_up(r,
 		    g_error_new(PT_ERROR, PT_ERROR_UNKNOWN,
 			"the log at %s gave an answer larger than %d bytes or "
 			"of no stated length",
-			r->log->base, RESPONSE_MAX));
+			r->log->base, max));
 	else
 		httpio_fetch_read(r->fetch, on_body, r);
 }
--- a/cmd/ptnode/backend.c
+++ b/cmd/ptnode/backend.c
@@ -187,12 +187,13 @@
 	JsonParser *p;
 	JsonNode *root;
 	struct backend b;
+	const char *excess;
 	gboolean ok;
 
-	if (pt_json_too_deep(json, len)) {
-		g_set_error(err, PT_ERROR, PT_ERROR_PARSE,
-		    "announcement: nested too deeply; give at most %d levels",
-		    PT_JSON_DEPTH);
+	excess = pt_json_excess(json, len);
+	if (excess != NULL) {
+		g_set_error(
+		    err, PT_ERROR, PT_ERROR_PARSE, "announcement: %s", excess);
 		n->stats.bad_announcements++;
 		return FALSE;
 	}
--- a/port/port.c
+++ b/port/port.c
@@ -113,24 +113,31 @@
 	return decode(proc, value, size, data, len, newer_minor(data, len));
 }
 
-gboolean
-pt_json_too_deep(const char *p, gsize len)
+const char *
+pt_json_excess(const char *p, gsize len)
 {
 	gboolean quoted = FALSE;
-	int depth = 0;
+	guint depth = 0, values = 0;
 	gsize i;
 
-	for (i = 0; i < len && depth <= PT_JSON_DEPTH; i++) {
+	for (i = 0; i < len; i++) {
 		if (p[i] == '"')
 			quoted = !quoted;
 		else if (quoted)
 			i += p[i] == '\\';
-		else if (p[i] == '[' || p[i] == '{')
-			depth++;
-		else if (p[i] == ']' || p[i] == '}')
-			depth--;
+		else if (p[i] == '[' || p[i] == '{') {
+			values++;
+			if (++depth > PT_JSON_DEPTH)
+				return "nested too deeply; send at "
+				       "most " G_STRINGIFY(
+					   PT_JSON_DEPTH) " levels";
+		} else if (p[i] == ']' || p[i] == '}')
+			depth -= depth > 0;
+		else if (p[i] == ',' && ++values > PT_JSON_VALUES)
+			return "of too many values; send at most " G_STRINGIFY(
+			    PT_JSON_VALUES);
 	}
-	return depth > PT_JSON_DEPTH;
+	return NULL;
 }
 
 void
--- a/port/port.h
+++ b/port/port.h
@@ -121,11 +121,14 @@
     xdrproc_t, void *value, gsize size, const void *data, gsize len);
 /* Deepest nesting of JSON text that is read. */
 #define PT_JSON_DEPTH 32
+/* Most values in it; json-glib takes up to 300 bytes for each. */
+#define PT_JSON_VALUES 100000
 /*
- * TRUE if JSON text is nested deeper than that.  json-glib parses by recursion
- * without a limit of its own.
+ * Checks these limits before JSON text is parsed, as json-glib has none and
+ * parses by recursion.  Returns what exceeds them, with the remedy; NULL:
+ * nothing.
  */
-gboolean pt_json_too_deep(const char *, gsize len);
+const char *pt_json_excess(const char *, gsize len);
 /* SHA-256 of the bytes; "out" has PT_DIGEST_LEN bytes. */
 void pt_sha256(GBytes *, void *out);
 
--- a/test/log_client_test.c
+++ b/test/log_client_test.c
@@ -320,6 +320,21 @@
 }
 END_TEST
 
+/*
+ * Guards against an answer to an append that is far larger than an offset, and
+ * takes a hundred times its size once it is parsed.
+ */
+START_TEST(long_answer_to_an_append_is_unknown)
+{
+	GSocket *s = accept_append();
+
+	loop_send(s, "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n");
+	UNTIL(t.ends == 1);
+	ck_assert_int_eq(t.code, PT_ERROR_UNKNOWN);
+	loop_close(s);
+}
+END_TEST
+
 /* Guards against callbacks after the client was freed, and leaks. */
 START_TEST(freed_while_requests_are_pending)
 {
@@ -358,6 +373,7 @@
 	tcase_add_test(c, append_is_sent_once);
 	tcase_add_test(c, refused_connection_is_unreachable);
 	tcase_add_loop_test(c, response_without_a_limit_is_refused, 0, 3);
+	tcase_add_test(c, long_answer_to_an_append_is_unknown);
 	tcase_add_test(c, freed_while_requests_are_pending);
 	suite_add_tcase(s, c);
 	return suite_run(s);
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -641,7 +641,8 @@
 	int code; /* of the last call's error, -1: none */
 	gint64 next, first;
 	gint64 offset; /* of the last record */
-	gboolean expired;
+	gboolean expired, whole;
+	guint records;
 	char *after;
 	char *keys; /* "key=value;" of each record, "key;" if deleted */
 } st;
@@ -669,6 +670,8 @@
 		st.next = r->next;
 		st.first = r->first;
 		st.expired = r->expired;
+		st.whole = r->whole;
+		st.records = r->records->len;
 		g_free(st.after);
 		st.after = g_strdup(r->after);
 	}
@@ -805,6 +808,76 @@
 }
 END_TEST
 
+/* Sends a response that may be larger than the socket takes at once. */
+static void
+send_large(const GString *body)
+{
+	gsize sent = 0;
+	gssize n;
+
+	UNTIL((st.peer = g_socket_accept(st.listener, NULL, NULL)) != NULL);
+	g_socket_set_blocking(st.peer, FALSE);
+	g_free(loop_expect(st.peer, "\r\n\r\n"));
+	while (sent < body->len) {
+		n = g_socket_send(
+		    st.peer, body->str + sent, body->len - sent, NULL, NULL);
+		sent += (gsize)MAX(n, 0);
+		g_main_context_iteration(NULL, FALSE);
+	}
+}
+
+/*
+ * Guards against an answer of the store that takes a hundred times its size
+ * once it is parsed, and ends the process for lack of memory.
+ */
+START_TEST(answer_of_many_values_fails)
+{
+	GString *s = g_string_new(NULL), *head = g_string_new(NULL);
+	guint i;
+
+	g_string_append(s, "{\"end\":1,\"items\":[");
+	for (i = 0; i < PT_JSON_VALUES; i++)
+		g_string_append(s, "{},");
+	g_string_append(s, "{}]}");
+	g_string_printf(head, "HTTP/1.1 200 OK\r\nContent-Length: %u\r\n\r\n",
+	    (guint)s->len);
+	g_string_prepend(s, head->str);
+	plat_store_read_newest(st.store, "t", NULL, 60000, on_records, NULL);
+	send_large(s);
+	UNTIL(st.calls == 1);
+	ck_assert_int_eq(st.code, PT_ERROR_PARSE);
+	g_string_free(s, TRUE);
+	g_string_free(head, TRUE);
+}
+END_TEST
+
+/*
+ * Guards against the same with records of a few bytes, and against the loss of
+ * those that are left for the next read.
+ */
+START_TEST(many_records_are_taken_in_parts)
+{
+	const guint n = 40000;
+	GString *s = g_string_new(NULL);
+	guint i;
+
+	g_string_printf(s, "HTTP/1.1 200 OK\r\nContent-Length: %u\r\n\r\n",
+	    HEADER_SIZE + n * 6);
+	g_string_append_len(s, "\0\0\0\0\0\0\xff\xff\0\0\0\0\0\0\0\0", 16);
+	for (i = 0; i < n; i++)
+		g_string_append_len(s, "\0\0\0\x02\x01k", 6);
+	plat_store_read(st.store, "t", 7, 0, 60000, on_records, NULL);
+	send_large(s);
+	UNTIL(st.calls == 1);
+	ck_assert_int_eq(st.code, -1);
+	ck_assert_uint_ge(st.records, 1000);
+	ck_assert_uint_lt(st.records, n);
+	ck_assert_int_eq(st.next, 7 + st.records);
+	ck_assert(!st.whole);
+	g_string_free(s, TRUE);
+}
+END_TEST
+
 /*
  * Guards against an answer from before the store was restored that sets a
  * position or acknowledges a write, and against a read beyond the end of the
@@ -908,6 +981,8 @@
 	tcase_add_checked_fixture(store, store_setup, store_teardown);
 	tcase_add_test(store, newest_records);
 	tcase_add_test(store, records_of_a_log);
+	tcase_add_test(store, answer_of_many_values_fails);
+	tcase_add_test(store, many_records_are_taken_in_parts);
 	tcase_add_test(store, answers_of_a_former_era_fail);
 	tcase_add_test(store, errors_of_a_put);
 	suite_add_tcase(suite, store);
--- a/test/port_test.c
+++ b/test/port_test.c
@@ -82,6 +82,43 @@
 }
 END_TEST
 
+/* Text with so many opening brackets, then values, each before a comma. */
+static gboolean
+accepted(guint depth, guint commas, const char *value)
+{
+	GString *s = g_string_new(NULL);
+	gboolean ok;
+	guint i;
+
+	for (i = 0; i < depth; i++)
+		g_string_append_c(s, '[');
+	for (i = 0; i < commas; i++) {
+		g_string_append(s, value);
+		g_string_append_c(s, ',');
+	}
+	ok = pt_json_excess(s->str, s->len) == NULL;
+	g_string_free(s, TRUE);
+	return ok;
+}
+
+/*
+ * Guards against text that overflows the parser's stack or takes a hundred
+ * times its size once it is parsed, and against text within the limits that is
+ * refused for what stands in its strings.
+ */
+START_TEST(json_has_limits)
+{
+	ck_assert(accepted(PT_JSON_DEPTH, 0, ""));
+	ck_assert(!accepted(PT_JSON_DEPTH + 1, 0, ""));
+	ck_assert(accepted(1, PT_JSON_VALUES - 1, "0"));
+	ck_assert(!accepted(1, PT_JSON_VALUES, "0"));
+	ck_assert(!accepted(1, PT_JSON_VALUES / 2, "{}"));
+	ck_assert(
+	    accepted(1, 10, "\"[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[\""));
+	ck_assert(accepted(1, PT_JSON_VALUES / 2, "\",,\\\",,\""));
+}
+END_TEST
+
 int
 main(void)
 {
@@ -91,6 +128,7 @@
 	tcase_add_test(t, decode_is_exact);
 	tcase_add_test(t, newer_minor_version_may_append);
 	tcase_add_test(t, other_versions_may_not_append);
+	tcase_add_test(t, json_has_limits);
 	suite_add_tcase(s, t);
 	return suite_run(s);
 }
