ptproxy: responses that callers do not read take a quarter of the memory

What callers would see: callers that do not read make the machine that they talk to run out of memory, and the requests of all others there end with it.

Cause: up to 256 KB are queued for each caller, and nothing bounds the sum.

Change: beyond an eighth of the memory a response is read on only while less than 64 KB are queued for its caller; beyond a quarter requests are refused as not run, and connections of callers that take nothing for 2 s are closed. Counters and a gauge say so.

--- a/cmd/ptproxy/fwd.c
+++ b/cmd/ptproxy/fwd.c
@@ -18,6 +18,8 @@
 
 /* Share of the process's memory that bodies of requests may take, inverse. */
 #define BODY_MEMORY_DIV 4
+/* Share of it that responses take which peers have not read, inverse. */
+#define OUTPUT_MEMORY_DIV 4
 
 struct fwd *
 fwd_ref(struct fwd *fwd)
@@ -131,6 +133,20 @@
 	p->body_bytes -= n;
 }
 
+gboolean
+output_full(const struct proxy *p)
+{
+	return h1_unsent_bytes() > p->set->memory / OUTPUT_MEMORY_DIV;
+}
+
+gsize
+output_high_water(const struct proxy *p)
+{
+	return h1_unsent_bytes() > p->set->memory / OUTPUT_MEMORY_DIV / 2
+		   ? H1_LOW_WATER
+		   : H1_HIGH_WATER;
+}
+
 void
 xchg_cancel(struct xchg *x)
 {
--- a/cmd/ptproxy/ingress.c
+++ b/cmd/ptproxy/ingress.c
@@ -26,6 +26,11 @@
 #define HEAD_US (5 * G_TIME_SPAN_SECOND)
 /* Time-out of an idle connection if no configuration sets it. */
 #define IDLE_US (60 * G_TIME_SPAN_SECOND)
+/*
+ * While responses that are not read take too much memory, a connection whose
+ * caller takes no byte for this time is closed.
+ */
+#define STALLED_US (2 * G_TIME_SPAN_SECOND)
 /* Time in which the first request of a new connection arrives. */
 #define FIRST_REQUEST_US (200 * G_TIME_SPAN_MILLISECOND)
 
@@ -237,7 +242,11 @@
 		next = LIST_NEXT(c, entry);
 		age = now - h1_last_active(c->conn);
 		begun = h1_begun(c->conn);
-		if (h1_idle(c->conn) && c->request == NULL) {
+		if (output_full(in->proxy) &&
+		    h1_stalled(c->conn) > STALLED_US) {
+			stats_add(in->proxy->stats, STAT_STALLED_CALLERS);
+			conn_free(c, "caller-stalled");
+		} else if (h1_idle(c->conn) && c->request == NULL) {
 			if (age > idle)
 				conn_free(c, "idle");
 		} else if (c->request == NULL
--- a/cmd/ptproxy/proxy.h
+++ b/cmd/ptproxy/proxy.h
@@ -67,6 +67,13 @@
  */
 gboolean bodies_add(struct proxy *, gsize);
 void bodies_remove(struct proxy *, gsize);
+/*
+ * Responses that peers have not read take more than a quarter of the memory: no
+ * request is accepted, and connections whose peers read nothing are closed.
+ */
+gboolean output_full(const struct proxy *);
+/* Queued output of a caller above which its response is not read on. */
+gsize output_high_water(const struct proxy *);
 
 /* Load that the node of an upstream reports with each response. */
 struct report {
@@ -559,6 +566,8 @@
 	STAT_MOVED, /* requests sent again that an upstream did not run */
 	STAT_STRAY, /* responses with the id of another attempt, or none */
 	STAT_BODY_MEMORY, /* requests refused as bodies take their memory */
+	STAT_OUTPUT_MEMORY, /* requests refused as responses are not read */
+	STAT_STALLED_CALLERS, /* connections closed for the same reason */
 	STAT_ANNOUNCEMENTS,
 	STAT_ANNOUNCEMENTS_REFUSED,
 	STAT_STORE_ERRORS,
--- a/cmd/ptproxy/request.c
+++ b/cmd/ptproxy/request.c
@@ -392,7 +392,7 @@
 		g_string_free(s, TRUE);
 	} else
 		caller_send(r->conn, p, n);
-	if (caller_queued(r->conn) > H1_HIGH_WATER)
+	if (caller_queued(r->conn) > output_high_water(r->proxy))
 		xchg_pause(r->xchg, TRUE);
 }
 
@@ -681,6 +681,11 @@
 		respond_local(r, 503, "no-configuration", RETRY_LATER_MS);
 		return;
 	}
+	if (output_full(p)) {
+		stats_add(p->stats, STAT_OUTPUT_MEMORY);
+		respond_local(r, 503, "output-memory", RETRY_LATER_MS);
+		return;
+	}
 	if (host == NULL) {
 		respond_local(r, 400, "no-host", 0);
 		return;
--- a/cmd/ptproxy/stats.c
+++ b/cmd/ptproxy/stats.c
@@ -41,6 +41,8 @@
 	[STAT_MOVED] = "moved_total",
 	[STAT_STRAY] = "stray_responses_total",
 	[STAT_BODY_MEMORY] = "body_memory_refused_total",
+	[STAT_OUTPUT_MEMORY] = "output_memory_refused_total",
+	[STAT_STALLED_CALLERS] = "stalled_callers_total",
 	[STAT_ANNOUNCEMENTS] = "announcements_total",
 	[STAT_ANNOUNCEMENTS_REFUSED] = "announcements_refused_total",
 	[STAT_STORE_ERRORS] = "store_errors_total",
@@ -125,6 +127,7 @@
 	    "ptproxy_slots %d\nptproxy_running %d\nptproxy_queued %d\n"
 	    "ptproxy_store_calls_total %" G_GUINT64_FORMAT "\n"
 	    "ptproxy_store_era %" G_GINT64_FORMAT "\n"
+	    "ptproxy_unsent_bytes %" G_GSIZE_FORMAT "\n"
 	    "ptproxy_backend_connections_total %" G_GUINT64_FORMAT "\n"
 	    "ptproxy_backend_beat_age_seconds %.3f\n"
 	    "ptproxy_backend_limit %.3f\n"
@@ -136,7 +139,7 @@
 	    p->rtab != NULL ? rtab_n_orgs(p->rtab) : 0, memb_count(p->memb),
 	    r.load.slots, r.load.running, r.load.queued,
 	    plat_store_calls(p->store), plat_store_era(p->store),
-	    backend_connections(p->backend),
+	    h1_unsent_bytes(), backend_connections(p->backend),
 	    (double)reg_age(p->reg) / G_TIME_SPAN_SECOND, reg_limit(p->reg),
 	    sys_lines_dropped());
 }
--- a/test/ingress_test.c
+++ b/test/ingress_test.c
@@ -8,6 +8,8 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "pt.h"
 #include "port.h"
@@ -179,6 +181,63 @@
 }
 END_TEST
 
+static void
+ignore_head(void *ctx, struct h1_head *h)
+{
+}
+
+static void
+ignore_closed(void *ctx, enum h1_end end, const char *why)
+{
+}
+
+static const struct h1_ops ignore_ops = { .head = ignore_head,
+	.closed = ignore_closed };
+
+static int
+status_of_request(void)
+{
+	GSocket *s = loop_connect(HOST, ingress_port(p.ingress));
+	char *got;
+	int status;
+
+	loop_send(s, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+	got = loop_expect(s, "\r\n\r\n");
+	status = atoi(strchr(got, ' '));
+	if (status == 503)
+		ck_assert_ptr_nonnull(strstr(got, "Retry-After"));
+	g_free(got);
+	loop_close(s);
+	return status;
+}
+
+/*
+ * Guards against responses which callers do not read and that take all the
+ * memory: beyond a quarter of it requests are refused as not run.
+ */
+START_TEST(requests_are_refused_while_responses_are_not_read)
+{
+	struct h1_opts o = { .ops = &ignore_ops };
+	char *text = g_strnfill(MEMORY, 'x');
+	struct h1_conn *c;
+	int fd[2];
+
+	ck_assert_int_eq(status_of_request(), 404);
+	ck_assert_int_eq(socketpair(AF_UNIX, SOCK_STREAM, 0, fd), 0);
+	c = h1_accept(g_socket_new_from_fd(fd[0], NULL), &o);
+	while (h1_unsent_bytes() <= MEMORY / 4)
+		h1_send(c, text, MEMORY);
+	ck_assert_int_eq(status_of_request(), 503);
+	ck_assert_uint_eq(output_high_water(&p), H1_LOW_WATER);
+	h1_free(c);
+	ck_assert_uint_eq(h1_unsent_bytes(), 0);
+	ck_assert_int_eq(status_of_request(), 404);
+	ck_assert_uint_eq(output_high_water(&p), H1_HIGH_WATER);
+	close(fd[1]);
+	g_free(text);
+}
+END_TEST
+
 /*
  * Guards against a head that arrives a byte at a time and never ends: each byte
  * used to restart its time-out.
@@ -1260,6 +1319,7 @@
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_loop_test(t, bodies_are_bounded_together, 0, 2);
 	tcase_add_loop_test(t, endless_body_leaves_others_served, 0, 2);
+	tcase_add_test(t, requests_are_refused_while_responses_are_not_read);
 	tcase_add_test(t, slow_heads_time_out);
 	tcase_add_test(t, empty_bodies_of_nodes_are_answered);
 	tcase_add_test(t, damaged_messages_do_not_end_the_process);
