h1: congestion is judged by the counted output

h1_fuzz_test, which parses without a socket, ended with signal 11 since, where it had not been run: h1_congested() asked for the output of a connection that has none. It now uses the count that is kept for h1_unsent_bytes(), which is zero there and the same elsewhere.

--- a/adapter/h1/conn.c
+++ b/adapter/h1/conn.c
@@ -113,7 +113,7 @@
 gboolean
 h1_congested(const struct h1_conn *c)
 {
-	return c->server && !c->parse.started && h1_queued(c) > H1_LOW_WATER;
+	return !c->parse.started && c->unsent > H1_LOW_WATER;
 }
 
 static void
--- a/adapter/h1/conn.h
+++ b/adapter/h1/conn.h
@@ -46,7 +46,7 @@
 	gsize head_max;
 	gint64 body_max;
 	GSocket *sock;
-	gsize unsent; /* bytes counted by h1_unsent_bytes() */
+	gsize unsent; /* server: bytes counted by h1_unsent_bytes() */
 	gint64 taken_at; /* the peer last took output, or none was queued */
 	guint stall_timer;
 	struct sys_watch *watch;
