h1: a response that the socket takes at once is not buffered

What callers would see: the more callers keep connections open after large answers, the more memory a node takes, up to its limit.

Cause: each response was copied to the output buffer of its connection. The buffer is given back in the next event of that connection, which does not come as long as the caller keeps it idle, or reads nothing. Trial: 160 KB for each connection after one answer of 280 KB, 195 MB for 1,200 of them with no byte unsent.

Change: h1_send() writes to the socket first and buffers only what that does not take.

Measured: memory_test many_callers_that_read_nothing fails before (89 MB of 88), passes after; the trial takes 11 MB after.

--- a/adapter/h1/conn.c
+++ b/adapter/h1/conn.c
@@ -655,11 +655,19 @@
 void
 h1_send(struct h1_conn *c, const void *p, gsize n)
 {
+	gsize sent = 0;
+
 	if (c->freed || c->failed || n == 0)
 		return;
-	g_byte_array_append(c->out, p, (guint)n);
-	c->out_peak = MAX(c->out_peak, c->out->len);
-	flush(c);
+	/* What the socket takes at once needs no buffer. */
+	if (!c->connecting && h1_queued(c) == 0)
+		write_bytes(c, p, n, &sent);
+	if (!c->failed && sent < n) {
+		g_byte_array_append(
+		    c->out, (const guint8 *)p + sent, (guint)(n - sent));
+		c->out_peak = MAX(c->out_peak, c->out->len);
+	}
+	count_unsent(c);
 	update_watch(c);
 }
 
--- a/test/memory_test.c
+++ b/test/memory_test.c
@@ -656,6 +656,24 @@
 }
 END_TEST
 
+/* Guards against large answers that are kept for many such callers. */
+START_TEST(many_callers_that_read_nothing)
+{
+	int i;
+
+	announce();
+	turns(50);
+	t.large = TRUE;
+	for (i = 0; i < 1200; i++) {
+		ask(FALSE);
+		if (i % 4 == 0)
+			turn();
+	}
+	run_round();
+	check_memory("callers");
+}
+END_TEST
+
 int
 main(void)
 {
@@ -667,6 +685,7 @@
 	tcase_add_test(c, store_that_sends_without_end);
 	tcase_add_test(c, peer_that_sends_without_end);
 	tcase_add_test(c, caller_that_reads_nothing);
+	tcase_add_test(c, many_callers_that_read_nothing);
 	suite_add_tcase(suite, c);
 	return suite_run(suite);
 }
