shards: a member that the store no longer lists is asked as well

Cause: a node that gains a shard asks the members that the store lists to give it up. One whose time the store has ended early is not listed, was not asked though all nodes reach it, and issued for the rest of its 2.4 s beside its successor.

Change: members that the store has ceased to list within that time are asked too, if other nodes reach them. Their silence holds nothing up: such a member has nearly always ended.

--- a/cmd/ptproxy/shards.c
+++ b/cmd/ptproxy/shards.c
@@ -68,6 +68,8 @@
 	char *owners[LIMIT_SHARDS]; /* NULL: not known */
 	/* Owners as the store has listed them, for gain(); NULL: not known. */
 	char *listed[LIMIT_SHARDS];
+	/* name -> time at which the store no longer listed it, 0: it does */
+	GHashTable *members;
 	gint64 joined_at; /* start of the last join that succeeded */
 	gint64 owners_generation;
 	gint64 read_generation; /* in which the owners were read */
@@ -88,6 +90,7 @@
 		g_free(s->owners[i]);
 		g_free(s->listed[i]);
 	}
+	g_hash_table_unref(s->members);
 	g_free(s);
 }
 
@@ -214,6 +217,12 @@
 	gboolean failed; /* one has not responded, or not given them up */
 };
 
+/* The answer of a member that is awaited. */
+struct asking {
+	struct round *round;
+	gboolean listed; /* now: without its answer the round fails */
+};
+
 static void
 issue_now(struct shards *s, guint shard)
 {
@@ -242,15 +251,16 @@
 static void
 on_released(void *arg, void *res, const GError *err)
 {
-	struct round *r = arg;
+	struct asking *q = arg;
 	const struct pt_limit_res *a = res;
 
-	r->failed |= err != NULL || !a->released;
-	round_unref(r);
+	q->round->failed |= err != NULL ? q->listed : !a->released;
+	round_unref(q->round);
+	g_free(q);
 }
 
 static void
-ask_member(struct round *r, const char *member)
+ask_member(struct round *r, const char *member, gboolean listed)
 {
 	struct proxy *p = r->shards->proxy;
 	const struct memb_member *m = memb_find(p->memb, member);
@@ -259,13 +269,40 @@
 		.shard = r->set,
 		.release = r->shards->generation };
 
+	struct asking *q;
+
 	if (m == NULL) {
-		r->failed = TRUE;
+		r->failed |= listed;
 		return;
 	}
+	q = g_new(struct asking, 1);
+	q->round = r;
+	q->listed = listed;
 	r->refs++;
 	p->rpc.call(p->rpc.ctx, m->host, m->rpc_port, PT_LIMIT, &a, RELEASE_MS,
-	    on_released, r);
+	    on_released, q);
+}
+
+/*
+ * Members that the store has ceased to list, as long as their time may last: it
+ * may have dropped them early, while it was down.  Asks those that other nodes
+ * reach.
+ */
+static void
+ask_former(struct round *r, GHashTable *asked)
+{
+	const struct memb *memb = r->shards->proxy->memb;
+	const struct memb_member *m;
+	GHashTableIter it;
+	gpointer name;
+
+	g_hash_table_iter_init(&it, r->shards->members);
+	while (g_hash_table_iter_next(&it, &name, NULL)) {
+		m = memb_find(memb, name);
+		if (m != NULL && m != memb_self(memb) && memb_present(m) &&
+		    m->health == PT_ALIVE && g_hash_table_add(asked, name))
+			ask_member(r, name, FALSE);
+	}
 }
 
 /* Own shards that wait for the former owner. */
@@ -283,9 +320,10 @@
 }
 
 /*
- * The members that the store lists now are all that may still issue tokens of a
- * shard gained: who is not listed has left, or has been dropped after its time.
- * Once all of them have given the shard up, this node issues.
+ * The members that the store lists now, or has listed lately, are all that may
+ * still issue tokens of a shard gained.  Once all of them have given the shard
+ * up, this node issues.  A member that is no longer listed and does not respond
+ * has left or ended, or has been dropped after its time.
  */
 static void
 confirm(struct shards *s, const GArray *owners)
@@ -310,8 +348,9 @@
 		member = g_array_index(owners, struct plat_owner, i).member;
 		if (strcmp(member, s->proxy->set->instance) != 0 &&
 		    g_hash_table_add(asked, member))
-			ask_member(r, member);
+			ask_member(r, member, TRUE);
 	}
+	ask_former(r, asked);
 	g_hash_table_unref(asked);
 	round_unref(r);
 }
@@ -443,6 +482,46 @@
 	s->timer = sys_after(proxy_jitter(s->proxy, RETRY_US), step, s);
 }
 
+static gboolean
+is_listed(const GArray *owners, const char *member)
+{
+	guint i;
+
+	for (i = 0; i < owners->len; i++)
+		if (strcmp(g_array_index(owners, struct plat_owner, i).member,
+			member) == 0)
+			return TRUE;
+	return FALSE;
+}
+
+/* Notes the members, and those that are no longer listed for TTL_US. */
+static void
+note_members(struct shards *s, const GArray *owners)
+{
+	gint64 now = pt_now(&s->proxy->clock), *missing;
+	GHashTableIter it;
+	gpointer name, value;
+	const char *member;
+	guint i;
+
+	g_hash_table_iter_init(&it, s->members);
+	while (g_hash_table_iter_next(&it, &name, &value)) {
+		missing = value;
+		if (is_listed(owners, name))
+			*missing = 0;
+		else if (*missing == 0)
+			*missing = now;
+		else if (now - *missing > TTL_US)
+			g_hash_table_iter_remove(&it);
+	}
+	for (i = 0; i < owners->len; i++) {
+		member = g_array_index(owners, struct plat_owner, i).member;
+		if (!g_hash_table_contains(s->members, member))
+			g_hash_table_insert(
+			    s->members, g_strdup(member), g_new0(gint64, 1));
+	}
+}
+
 static void
 on_owners(void *ctx, const GArray *owners, const GError *err)
 {
@@ -461,6 +540,7 @@
 			if (part_of(s, shard) == o->part)
 				set_owner(s, shard, o->member);
 	}
+	note_members(s, owners);
 	s->unconfirmed = FALSE;
 	confirm(s, owners);
 	s->owners_generation = MAX(s->owners_generation, s->generation);
@@ -564,6 +644,8 @@
 	s->proxy = p;
 	s->ledger = ledger;
 	s->refs = 1;
+	s->members =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->timer = sys_after(proxy_jitter(p, RETRY_US), step, s);
 	return s;
 }
--- a/test/source_test.c
+++ b/test/source_test.c
@@ -1774,6 +1774,37 @@
 }
 END_TEST
 
+/*
+ * Guards against two owners of a limit that both issue: one node loses the
+ * store right after a call, and the store drops all members before their time
+ * while it is down for a moment.
+ */
+START_TEST(limit_holds_as_the_store_drops_members_early)
+{
+	GRand *rnd = g_rand_new_with_seed((guint32)(900 + _i));
+	guint i, k;
+
+	limits_start(6);
+	for (k = 0; k < 6; k++) {
+		take_for(rnd, g_rand_int_range(rnd, 3000, 4000) * MS);
+		store.cut_fault = SILENT;
+		mesh[(_i + (int)k) % 6].cut = TRUE;
+		set_fault(DOWN);
+		advance(100 * MS);
+		for (i = 0; i < MESH_MAX; i++)
+			group.until[i] = 0;
+		group_divide(TRUE);
+		set_fault(UP);
+		take_for(rnd, 4 * SECOND);
+		mesh[(_i + (int)k) % 6].cut = FALSE;
+	}
+	check_bound("dropped early");
+	limited = FALSE;
+	mesh_stop();
+	g_rand_free(rnd);
+}
+END_TEST
+
 /*
  * Guards against more requests than a limit allows after any order of faults:
  * nodes that lose the store, or other nodes, or both, for a while, shards that
@@ -1852,6 +1883,8 @@
 	tcase_add_checked_fixture(t, setup, teardown);
 	tcase_add_test(t, limit_holds_over_all_nodes);
 	tcase_add_loop_test(t, shards_of_a_lost_node_have_a_new_owner, 0, 6);
+	tcase_add_loop_test(
+	    t, limit_holds_as_the_store_drops_members_early, 0, 6);
 	tcase_add_loop_test(t, limit_holds_after_any_faults, 0, 20);
 	suite_add_tcase(suite, t);
 	return suite_run(suite);
