beacons: reads that do not reach the end, and answers on their way

* ptnode: a node that read the log as no beacon came, and got fewer records than the log holds, never read it again for that reason.
It reads on after 100 ms. dist_test all_readers_lose_the_log with 200 changes at once fails before ("play 3"), passes after.
* ptproxy: an answer with records that took longer than the wait counted as current at the end of the wait.
It counts as current at its beginning.
No test: it takes a store that is slow just then.
* ptproxy: an elected reader that has lost the store logged config-stale at each of its retries.

--- a/cmd/ptproxy/shards.c
+++ b/cmd/ptproxy/shards.c
@@ -268,7 +268,6 @@
 		.from = p->set->instance,
 		.shard = r->set,
 		.release = r->shards->generation };
-
 	struct asking *q;
 
 	if (m == NULL) {
--- a/cmd/ptproxy/source.c
+++ b/cmd/ptproxy/source.c
@@ -68,6 +68,9 @@
 /* Backoff after a failed call: doubles up to the maximum. */
 #define BACKOFF_US (100 * G_TIME_SPAN_MILLISECOND)
 #define BACKOFF_MAX_US (1 * G_TIME_SPAN_SECOND)
+/* The call that follows the backoff ends before a missing beacon asks for one.
+ */
+#define CHECK_AFTER_US (2 * G_TIME_SPAN_SECOND)
 /* Shortest time from applying one version to the fetch of the next. */
 #define FETCH_GAP_US (400 * G_TIME_SPAN_MILLISECOND)
 /* A reader of the store waits this long before it fetches from a node. */
@@ -380,7 +383,8 @@
 	else
 		t = (gint64)((double)t *
 			     (0.5 + g_rand_double(s->proxy->rand) / 2));
-	beacons_failed(s->proxy->beacons, pt_now(&s->proxy->clock) + t);
+	beacons_failed(
+	    s->proxy->beacons, pt_now(&s->proxy->clock) + t + CHECK_AFTER_US);
 	s->timer = sys_after(t, read_store, s);
 }
 
@@ -467,13 +471,13 @@
  * until the end of its wait found no newer version at that time.
  */
 static void
-report_read(struct source *s)
+report_read(struct source *s, const struct plat_records *r)
 {
 	gint64 took = pt_now(&s->proxy->clock) - s->read_at;
 	gint64 wait = s->wait_ms * G_TIME_SPAN_MILLISECOND;
 
 	rtab_fresh_read(&s->proxy->fresh, s->read_at);
-	if (took >= wait)
+	if (took >= wait && (wait == 0 || r->records->len == 0))
 		beacons_read(s->proxy->beacons, s->read_at + wait, took - wait);
 	else
 		beacons_read(s->proxy->beacons, s->read_at, -1);
@@ -508,7 +512,7 @@
 	}
 	current = r->whole && !s->refused && s->proxy->rtab != NULL;
 	if (current)
-		report_read(s);
+		report_read(s, r);
 	set_next(s, r);
 	delay = read_delay(s, r);
 	if (!current)
--- a/core/dist/beacons.c
+++ b/core/dist/beacons.c
@@ -14,11 +14,12 @@
 #define DIST_PRIVATE
 #include "dist.h"
 
-/* Longest time from a change until it is in force, of which reads are a part.
- */
+/* Longest time from a change until it is in force. */
 #define BOUND_US (6 * DIST_US)
 /* Interval between reads of a node that cannot reach the log. */
 #define RETRY_US (20 * DIST_US)
+/* Delay of the next one if the last has not reached the end of the log. */
+#define NEXT_US (100 * DIST_MS)
 /* Members of its failure domain that hear from a sender of a new position. */
 #define NOTIFY_MAX 8
 
@@ -72,8 +73,10 @@
 		return;
 	}
 	/* More records follow, or the log is shorter than it was. */
-	if (b->next < from || version(d) < b->next)
+	if (b->next < from || version(d) < b->next) {
+		beacon_failed(d->beacon, now + NEXT_US);
 		return;
+	}
 	held = took >= wait && (wait == 0 || b->n_entries == 0);
 	if (beacon_read(d->beacon, held ? start + wait : start,
 		held ? took - wait : -1))
--- a/test/dist_test.c
+++ b/test/dist_test.c
@@ -805,7 +805,9 @@
 		for (i = 0; i < f->n; i++)
 			f->nodes[i].log_cut |= fn_reads_log(f, i);
 		fn_run(f, k * 700 * FN_MS);
-		fn_append_change(f, k);
+		/* Some changes, or more than one read of the log takes. */
+		for (i = 0; i < (k == 3 ? 200 : 1); i++)
+			fn_append_change(f, 1000 * k + i);
 		ck_assert_msg(fn_until(f, sound_nodes_current, TARGET_US) >= 0,
 		    "play %u", k);
 		if (k % 2 == 0)
