memory_test: rounds are measured in time

A turn of the test's loop ends at once if any socket is ready, so a round of 150 quiet turns took a few milliseconds, and most endless answers of the upstream had not been read when the memory was checked. Rounds now last 1.5 s without progress, 12 s at most; the bound and the cases are the same.

--- a/test/memory_test.c
+++ b/test/memory_test.c
@@ -27,8 +27,6 @@
 #define CHUNK (64 * 1024)
 /* A connection sends at most this much. */
 #define SEND_MAX (256 * 1024 * 1024)
-/* A round ends after so many turns without progress, of 10 ms each. */
-#define QUIET_TURNS 150
 #define PEERS_MAX 2048
 #define LARGE_BODY (280 * 1024)
 
@@ -382,29 +380,28 @@
 	for (i = 0; i < n; i++)
 		if (f[i].revents != 0)
 			turn_peer(&t.peer[i], f[i].revents);
-	if (i == 0)
-		g_usleep(10000);
 }
 
 static void
-turns(int n)
+run_ms(int ms)
 {
-	while (n-- > 0)
+	gint64 end = g_get_monotonic_time() + ms * G_TIME_SPAN_MILLISECOND;
+
+	while (g_get_monotonic_time() < end)
 		turn();
 }
 
-/* Runs until nothing moves any more, for 12 s at most. */
+/* Runs until next to nothing moves any more, for 12 s at most. */
 static void
 run_round(void)
 {
-	gint64 end = g_get_monotonic_time() + 12 * G_TIME_SPAN_SECOND;
-	int quiet = 0;
+	int i, quiet = 0;
 	gsize before;
 
-	while (quiet < QUIET_TURNS && g_get_monotonic_time() < end) {
+	for (i = 0; i < 40 && quiet < 5; i++) {
 		before = t.moved;
-		turn();
-		quiet = t.moved > before + CHUNK / 4 ? 0 : quiet + 1;
+		run_ms(300);
+		quiet = t.moved - before > 4 * CHUNK ? 0 : quiet + 1;
 	}
 }
 
@@ -484,6 +481,8 @@
 check_memory(const char *what)
 {
 	ck_assert_msg(waitpid(t.node, NULL, WNOHANG) == 0, "%s: ended", what);
+	if (g_getenv("MEMORY_VERBOSE") != NULL)
+		printf("%s: %d MB\n", what, peak_mb());
 	ck_assert_msg(peak_mb() < MEMORY_MB, "%s: %d MB", what, peak_mb());
 }
 
@@ -520,7 +519,7 @@
 	listen_at(t.store_host, STORE, STORE_LISTENER);
 	listen_at(t.host, APP, APP_LISTENER);
 	node_start();
-	turns(300);
+	run_ms(3000);
 }
 
 static void
@@ -550,15 +549,15 @@
 	int i;
 
 	t.app = answers;
-	turns(200); /* health checks */
+	run_ms(2000); /* health checks */
 	announce();
-	turns(50);
+	run_ms(500);
 	/* Some requests are refused while the upstream has failed others. */
 	for (i = 0;
 	     i < 1000 && (i < 4 * (int)N_ANSWERS || t.next_app < 2 * N_ANSWERS);
 	     i++) {
 		ask(i % 2 == 0);
-		turns(5);
+		run_ms(50);
 	}
 	run_round();
 	ck_assert_uint_ge(t.next_app, 2 * N_ANSWERS);
@@ -574,7 +573,7 @@
 	t.store = answers;
 	/* Open reads end; the node tries again after up to a second. */
 	for (i = 0; i < 40 && t.next_store < 2 * N_ANSWERS; i++)
-		turns(50);
+		run_ms(500);
 	run_round();
 	ck_assert_uint_ge(t.next_store, 5);
 	check_memory("store");
@@ -647,7 +646,7 @@
 	guint i, k;
 
 	announce();
-	turns(50);
+	run_ms(500);
 	for (i = 0; i < G_N_ELEMENTS(ports); i++)
 		for (k = 0; k < G_N_ELEMENTS(requests); k++)
 			call(ports[i], "", requests[k], FALSE);
@@ -662,7 +661,7 @@
 	int i;
 
 	announce();
-	turns(50);
+	run_ms(500);
 	t.large = TRUE;
 	for (i = 0; i < 1200; i++) {
 		ask(FALSE);
