h1: a stalled connection is closed after 120 s

10 s were too short: the kernel takes more output only once a part of its buffer is free, up to some 800 KB, and a node that holds a response back for a slow caller reads nothing meanwhile. A caller at 50 KB a second would have lost a large response in the middle. Found in review, not seen.

--- a/adapter/h1/conn.c
+++ b/adapter/h1/conn.c
@@ -27,7 +27,7 @@
 /* A buffer that has held more than this is freed once it is empty. */
 #define BUFFER_KEEP_MAX 4096
 /* A server closes a connection whose peer takes no output for this time. */
-#define STALL_US (10 * G_TIME_SPAN_SECOND)
+#define STALL_US (120 * G_TIME_SPAN_SECOND)
 /* Time for which input is discarded after the last byte of a response. */
 #define LINGER_US (1 * G_TIME_SPAN_SECOND)
 /*
