review: the stand-in of case 11 ended a node by itself

Cause: the signal that ends a node with the script goes with the thread that started it. The thread that restarts a node after an end ended 20 s into the run, and the node with it: 8 more requests were counted. Change: that thread waits for the end of the script.

--- a/review/cases3.c
+++ b/review/cases3.c
@@ -136,6 +136,9 @@
 		sleep_ms(5);
 	}
 	note("%s had %ld kB at most", n->name, most);
+	/* A node is killed when the thread that started it ends. */
+	for (;;)
+		pause();
 	return NULL;
 }
 
