ptproxy: a status says "not run" only with proof

Ruled out: a repeat by the node (one run for each attempt), a false 503 of the node's own.

Change: a response proves that its request ran, did not run, or nothing. One that proves nothing but has the status 408, 421, 429 or 503 fails the exchange as a lost answer does, which becomes 502 or a repeat within the budget. The kind of the failure carries that between nodes; a status of a node of an earlier release without it is treated alike. respond_local() alone decides about a node's own 429 and 503 after an attempt. The statement with 2xx, 500 or 504 contradicts itself and is no proof; contradictions are counted and logged, and a delivered response loses the statement.

--- a/cmd/ptproxy/backend.c
+++ b/cmd/ptproxy/backend.c
@@ -88,6 +88,8 @@
 	guint timer;
 	guint stall_timer;
 	gint64 stall_after; /* time in a slot, 0: not known */
+	enum plat_outcome outcome; /* what the server's response proves */
+	gboolean complete; /* the whole response of a run was received */
 	char *why; /* reason of a failure that is reported later, or NULL */
 	int retry_ms;
 };
@@ -210,7 +212,7 @@
 	struct failure f = { kind, why, retry_ms, &report };
 
 	log_run(r, why);
-	run_report(r, TRUE, &report);
+	run_report(r, !r->complete, &report);
 	r->ops = NULL;
 	if (ops != NULL)
 		ops->fail(ctx, &f);
@@ -255,10 +257,37 @@
 	sys_ticker_kick(b->ticker);
 }
 
+/*
+ * A contradictory response points to a fault of the server: it is counted and
+ * logged even where its request ends as any other.
+ */
+static void
+note_contradiction(
+    const struct run *r, const struct h1_head *h, const struct plat_response *p)
+{
+	stats_add(r->backend->proxy->stats, STAT_CONTRADICTORY);
+	pt_event(&r->backend->proxy->events, PT_LEVEL_WARNING, "contradictory",
+	    "id=%s status=%d signed=%d outcome=%d",
+	    r->fwd->attempt_id != NULL ? r->fwd->attempt_id : "-", h->status,
+	    p->is_signed, (int)p->outcome);
+}
+
+/* Why a response is not delivered to the caller; NULL: it is. */
+static const char *
+undeliverable(const struct h1_head *h, const struct plat_response *p)
+{
+	if (p->outcome == PLAT_NOT_RUN)
+		return "backend-refused";
+	if (p->outcome == PLAT_UNPROVED)
+		return UNPROVED_REFUSAL;
+	return h->status < 300 && !p->is_signed ? "unsigned" : NULL;
+}
+
 static gboolean
 on_head(void *ctx, struct h1_head *h)
 {
 	struct run *r = ctx;
+	const char *why;
 	struct plat_response p;
 	struct report report;
 
@@ -277,17 +306,21 @@
 	 * refusal cannot if it is the first on its connection.
 	 */
 	if (p.attempt_id == NULL && r->fwd->attempt_id != NULL &&
-	    (!p.not_run || h1_call_reused(r->call))) {
+	    (p.outcome != PLAT_NOT_RUN || h1_call_reused(r->call))) {
 		stats_add(r->backend->proxy->stats, STAT_STRAY);
 		r->why = g_strdup("unmatched");
 		h1_call_no_reuse(r->call);
 		return TRUE;
 	}
 	statements_answered(r->backend->proxy->statements, r->process, &p);
-	if (p.not_run || (h->status < 300 && !p.is_signed)) {
-		r->why = g_strdup(p.not_run ? "backend-refused" : "unsigned");
+	r->outcome = p.outcome;
+	if (p.contradictory)
+		note_contradiction(r, h, &p);
+	why = undeliverable(h, &p);
+	if (why != NULL) {
+		r->why = g_strdup(why);
 		/* A refusal with the attempt's id keeps the connection. */
-		if (!p.not_run || p.attempt_id == NULL)
+		if (p.outcome == PLAT_RAN || p.attempt_id == NULL)
 			h1_call_no_reuse(r->call);
 		return TRUE;
 	}
@@ -307,6 +340,16 @@
 		r->ops->body(r->ctx, p, n);
 }
 
+static void
+run_completed(struct run *r)
+{
+	r->complete = TRUE;
+	cost_add(r->backend->cost, r->fwd->route,
+	    pt_now(&r->backend->proxy->clock) - r->job.started_at);
+	run_learn(r, FALSE);
+	quarantine_completed(r->backend->proxy->quarantine, r->process, r->fwd);
+}
+
 static void
 on_complete(void *ctx)
 {
@@ -315,17 +358,14 @@
 
 	r->call = NULL;
 	end_run(r);
+	if (r->why == NULL || r->outcome == PLAT_UNPROVED)
+		run_completed(r);
 	if (r->why != NULL) {
 		run_fail(r,
-		    strcmp(r->why, "backend-refused") == 0 ? FAIL_REJECTED
-							   : FAIL_LOST,
+		    r->outcome == PLAT_NOT_RUN ? FAIL_REJECTED : FAIL_LOST,
 		    r->why, 0);
 		return;
 	}
-	cost_add(r->backend->cost, r->fwd->route,
-	    pt_now(&r->backend->proxy->clock) - r->job.started_at);
-	run_learn(r, FALSE);
-	quarantine_completed(r->backend->proxy->quarantine, r->process, r->fwd);
 	log_run(r, "answered");
 	r->ops = NULL;
 	if (ops != NULL)
--- a/cmd/ptproxy/fwd.c
+++ b/cmd/ptproxy/fwd.c
@@ -96,7 +96,8 @@
 	h1_put_status(s, h->status);
 	for (i = 0; i < h->fields->len; i++) {
 		f = &g_array_index(h->fields, struct h1_field, i);
-		if (is_forwarded(h, f->name))
+		if (is_forwarded(h, f->name) &&
+		    !plat_response_reserved(f->name))
 			h1_put(s, f->name, f->value);
 	}
 }
--- a/cmd/ptproxy/peer.c
+++ b/cmd/ptproxy/peer.c
@@ -198,6 +198,12 @@
 	read_statement(e, head);
 	keys_heard_age(e->peers->proxy, head, e->sent_at);
 	e->refused = peerhdr_failure_read(head, &e->failure, &e->why);
+	/* Nodes of earlier releases pass on such a status without proof. */
+	if (!e->refused && plat_status_not_run(head->status)) {
+		e->refused = TRUE;
+		e->failure.kind = FAIL_LOST;
+		e->failure.reason = UNPROVED_REFUSAL;
+	}
 	if (!e->refused)
 		e->ops->head(e->ctx, head, e->has_report ? &e->report : NULL);
 	return TRUE;
--- a/cmd/ptproxy/proxy.h
+++ b/cmd/ptproxy/proxy.h
@@ -100,8 +100,18 @@
 	const struct report *report; /* may be NULL */
 };
 
+/*
+ * Reason of a failure: the response has a status that promises "not run", and
+ * nothing proves it.
+ */
+#define UNPROVED_REFUSAL "unproved-refusal"
+
 /* Callbacks run from the main loop, never from within a submit function. */
 struct xchg_ops {
+	/*
+	 * The response to a request that ran.  Its status never promises "not
+	 * run": such an exchange fails.
+	 */
 	void (*head)(void *ctx, struct h1_head *, const struct report *);
 	void (*body)(void *ctx, const char *, gsize);
 	void (*end)(void *ctx);
@@ -565,6 +575,7 @@
 	STAT_RETRIES, /* requests sent again after they may have run */
 	STAT_MOVED, /* requests sent again that an upstream did not run */
 	STAT_STRAY, /* responses with the id of another attempt, or none */
+	STAT_CONTRADICTORY, /* responses that say "not run" without proof */
 	STAT_BODY_MEMORY, /* requests refused as bodies take their memory */
 	STAT_OUTPUT_MEMORY, /* requests refused as responses are not read */
 	STAT_STALLED_CALLERS, /* connections closed for the same reason */
--- a/cmd/ptproxy/request.c
+++ b/cmd/ptproxy/request.c
@@ -165,13 +165,18 @@
 		caller_done(c, keep);
 }
 
-/* Sends a response of this node itself and frees the request. */
+/*
+ * Sends a response of this node itself and frees the request.  A status that
+ * promises "not run" becomes 502 if an upstream may have run the request.
+ */
 static void
 respond_local(struct request *r, int status, const char *why, int retry_ms)
 {
 	GString *s = g_string_new(NULL);
 	gboolean keep = r->conn != NULL && !caller_closing(r->conn);
 
+	if (r->may_have_run && plat_status_not_run(status))
+		status = 502;
 	h1_put_status(s, status);
 	h1_put_int(s, "Content-Length", 0);
 	if (status == 503 || status == 429)
@@ -231,15 +236,11 @@
 	g_byte_array_set_size(r->buffered, 0);
 }
 
-/*
- * Ends a request that no further upstream takes.  Status 503 says that it did
- * not run: not if an earlier upstream may have run it.
- */
+/* Ends a request that no further upstream takes. */
 static void
 respond_refused(struct request *r, const char *why, int retry_ms)
 {
-	respond_local(r, r->may_have_run ? 502 : 503, why,
-	    CLAMP(retry_ms, RETRY_MIN_MS, RETRY_MAX_MS));
+	respond_local(r, 503, why, CLAMP(retry_ms, RETRY_MIN_MS, RETRY_MAX_MS));
 }
 
 /* The request has ended several servers: no upstream is to get it. */
@@ -247,7 +248,7 @@
 respond_quarantined(struct request *r, int retry_ms)
 {
 	quarantine_refused(r->proxy->quarantine, r->fwd);
-	respond_local(r, r->may_have_run ? 502 : 503, QUARANTINED, retry_ms);
+	respond_local(r, 503, QUARANTINED, retry_ms);
 }
 
 static void
--- a/cmd/ptproxy/stats.c
+++ b/cmd/ptproxy/stats.c
@@ -40,6 +40,7 @@
 	[STAT_RETRIES] = "retries_total",
 	[STAT_MOVED] = "moved_total",
 	[STAT_STRAY] = "stray_responses_total",
+	[STAT_CONTRADICTORY] = "contradictory_responses_total",
 	[STAT_BODY_MEMORY] = "body_memory_refused_total",
 	[STAT_OUTPUT_MEMORY] = "output_memory_refused_total",
 	[STAT_STALLED_CALLERS] = "stalled_callers_total",
--- a/test/ingress_test.c
+++ b/test/ingress_test.c
@@ -360,6 +360,7 @@
 		.attempts = 2,
 		.parts = &part,
 		.n_parts = 1 };
+	struct rtab_route once = route;
 
 	setup();
 	listener = rpcio_bind(G_SOCKET_TYPE_STREAM, HOST, 0, TRUE, NULL);
@@ -368,6 +369,10 @@
 	rtab_unref(p.rtab);
 	p.rtab = table_new();
 	rtab_add_route(p.rtab, &route);
+	once.name = (char *)(guintptr) "once";
+	once.prefix = (char *)(guintptr) "/once/";
+	once.kind = RTAB_ONCE;
+	rtab_add_route(p.rtab, &once);
 	ck_assert(rtab_build(p.rtab, NULL));
 	dgram_iface.send = no_dgram;
 	p.rand = mo.rand = g_rand_new_with_seed(1);
@@ -844,6 +849,26 @@
 }
 END_TEST
 
+/*
+ * Guards against "not run" because a node passes on its upstream's status: it
+ * does not say what became of the request, as nodes of earlier releases.
+ */
+START_TEST(status_passed_on_by_a_node_is_no_refusal)
+{
+	static const char *const first[] = {
+		"HTTP/1.1 503 No\r\nContent-Length: 2\r\n\r\nno",
+		"HTTP/1.1 503 No\r\nX-Primrosetide-Response-Signature: s\r\n"
+		"Content-Length: 0\r\n\r\n",
+		"HTTP/1.1 429 No\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 408 No\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"2\r\nno\r\n0\r\n\r\n",
+	};
+
+	refused_by_the_others(first[_i], " 502 ");
+}
+END_TEST
+
 static char *ended; /* statuses and reasons of the events "request" */
 
 static void
@@ -1025,6 +1050,126 @@
 
 /* ---- responses that are incomplete or invalid ---- */
 
+#define SIGNED "X-Primrosetide-Response-Signature: s\r\n"
+#define STATED "X-Primrosetide-Not-Executed: 1\r\n"
+#define OWN_ID "X-Primrosetide-Attempt-Id: a\r\n"
+
+/*
+ * Responses of a backend server, and the status that its caller gets.  None
+ * that may come from a run is told as "not run".
+ */
+static const struct {
+	const char *text;
+	int status;
+} outcomes[] = {
+	{ "503 No\r\n" OWN_ID "Content-Length: 2\r\n\r\nno", 502 },
+	{ "503 No\r\n" OWN_ID SIGNED "Content-Length: 0\r\n\r\n", 502 },
+	{ "503 No\r\n" OWN_ID SIGNED STATED "Content-Length: 0\r\n\r\n", 502 },
+	{ "503 No\r\n" OWN_ID "Retry-After: 1\r\nConnection: close\r\n\r\nno",
+	    502 },
+	{ "429 No\r\n" OWN_ID "Content-Length: 0\r\n\r\n", 502 },
+	{ "429 No\r\n" OWN_ID SIGNED "Content-Length: 0\r\n\r\n", 502 },
+	{ "408 No\r\n" OWN_ID "Transfer-Encoding: chunked\r\n\r\n"
+	  "2\r\nno\r\n0\r\n\r\n",
+	    502 },
+	{ "421 No\r\n" OWN_ID SIGNED "Content-Length: 0\r\n\r\n", 502 },
+	{ "200 OK\r\n" OWN_ID STATED "Content-Length: 0\r\n\r\n", 502 },
+	{ "500 No\r\n" OWN_ID STATED "Content-Length: 0\r\n\r\n", 500 },
+	{ "504 No\r\n" OWN_ID SIGNED "Content-Length: 0\r\n\r\n", 504 },
+	{ "404 No\r\n" OWN_ID SIGNED "Content-Length: 0\r\n\r\n", 404 },
+	/* These did not run. */
+	{ "503 No\r\n" OWN_ID STATED "Content-Length: 2\r\n\r\nno", 503 },
+	{ "429 No\r\n" OWN_ID STATED "Content-Length: 0\r\n\r\n", 503 },
+	{ "408 No\r\n" OWN_ID STATED "Content-Length: 0\r\n\r\n", 503 },
+	{ "400 No\r\n" OWN_ID STATED "Content-Length: 0\r\n\r\n", 503 },
+	{ "421 No\r\n" OWN_ID "Content-Length: 0\r\n\r\n", 503 },
+};
+
+/* Sends a request that the backend server gets and answers with "text". */
+static GSocket *
+answered_by_the_server(guint port, const char *request, const char *text)
+{
+	GSocket *s = loop_connect(HOST, port), *b = NULL;
+	char *answer = g_strconcat("HTTP/1.1 ", text, NULL);
+
+	loop_send(s, request);
+	UNTIL((b = g_socket_accept(listener, NULL, NULL)) != NULL);
+	g_socket_set_blocking(b, FALSE);
+	g_free(loop_expect(b, "\r\n\r\n"));
+	loop_send(b, answer);
+	LOOP_IDLE();
+	loop_close(b);
+	g_free(answer);
+	return s;
+}
+
+static void
+expect_status(GSocket *s, int status)
+{
+	char *got = loop_expect(s, "\r\n\r\n");
+
+	ck_assert_msg(atoi(strchr(got, ' ')) == status, "%s", got);
+	ck_assert_ptr_null(strstr(got, "Not-Executed"));
+	ck_assert_int_eq(strstr(got, "Retry-After") != NULL, status == 503);
+	/* The signature stands for the status of the server. */
+	if (status == 502 || status == 503)
+		ck_assert_ptr_null(strstr(got, "Signature"));
+	g_free(got);
+	loop_close(s);
+	LOOP_IDLE();
+	/* No other run may begin. */
+	ck_assert_ptr_null(g_socket_accept(listener, NULL, NULL));
+}
+
+/*
+ * Guards against a status of the backend server that promises "not run" to the
+ * caller of a request that ran, and against 502 for one that did not run.
+ */
+START_TEST(status_promises_not_run_only_with_proof)
+{
+	static const char *const paths[] = { "/once/", "/s/" };
+	guint k;
+	char *text;
+
+	for (k = 0; k < G_N_ELEMENTS(paths); k++) {
+		text = g_strdup_printf("POST %s HTTP/1.1\r\nHost: h\r\n" OWN_ID
+				       "Content-Length: 1\r\n\r\nb",
+		    paths[k]);
+		expect_status(
+		    answered_by_the_server(port_of(0), text, outcomes[_i].text),
+		    outcomes[_i].status);
+		g_free(text);
+	}
+}
+END_TEST
+
+/* The same for the request of another node, which tells its caller. */
+START_TEST(node_is_told_not_run_only_with_proof)
+{
+	static const char request[] =
+	    "Pt-Hop: to=self;route=r;service=svc;caller=svc;left=20000000;"
+	    "target=20000000;priority=0;once=1;returned=0;repeat=0;";
+	char *text = node_message(request, ""), *got;
+	GSocket *s =
+	    answered_by_the_server(port_of(1), text, outcomes[_i].text);
+	int status = outcomes[_i].status;
+
+	got = loop_expect(s, "\r\n\r\n");
+	ck_assert_msg(atoi(strchr(got, ' ')) == status, "%s", got);
+	ck_assert_ptr_null(strstr(got, "Not-Executed"));
+	if (status == 502)
+		ck_assert_ptr_nonnull(strstr(got, "Pt-Outcome: kind=3;"));
+	else if (status == 503)
+		ck_assert_ptr_nonnull(strstr(got, "Pt-Outcome: kind=2;"));
+	else
+		ck_assert_ptr_null(strstr(got, "Pt-Outcome"));
+	g_free(got);
+	g_free(text);
+	loop_close(s);
+	LOOP_IDLE();
+}
+END_TEST
+
 /* More than the socket buffers of both ends hold. */
 #define UPLOAD (32 * 1024 * 1024)
 /* More than the node holds back of a response. */
@@ -1087,8 +1232,6 @@
 	return conn;
 }
 
-#define SIGNED "X-Primrosetide-Response-Signature: s\r\n"
-
 /*
  * Guards against a partial body as a complete response: the upstream answers a
  * long upload early and without a length, then resets the connection.
@@ -1335,6 +1478,11 @@
 	tcase_add_test(t, stopping_node_waits_for_a_silent_upstream);
 	tcase_add_loop_test(t, refusal_after_a_lost_answer_may_have_run, 0, 3);
 	tcase_add_loop_test(t, invalid_refusal_may_have_run, 0, 3);
+	tcase_add_loop_test(t, status_passed_on_by_a_node_is_no_refusal, 0, 5);
+	tcase_add_loop_test(t, status_promises_not_run_only_with_proof, 0,
+	    G_N_ELEMENTS(outcomes));
+	tcase_add_loop_test(
+	    t, node_is_told_not_run_only_with_proof, 0, G_N_ELEMENTS(outcomes));
 	tcase_add_test(t, complete_answers_are_delivered_at_the_end);
 	tcase_add_test(t, waiting_request_does_not_run_at_another_service);
 	tcase_add_test(t, announcement_of_an_unknown_service_is_refused);
--- a/test/platform_test.c
+++ b/test/platform_test.c
@@ -524,28 +524,42 @@
 	return h;
 }
 
+#define STATED "X-Primrosetide-Not-Executed", "1"
+#define SIGNATURE "X-Primrosetide-Response-Signature", "s"
+
 /*
  * Guards against a second run of a request: a response counts as "not run" only
- * if it says so explicitly and no backend server has signed it.
+ * if it says so explicitly, and neither a signature nor its status says that it
+ * comes from a run.  A status that promises "not run" is no proof.
  */
 START_TEST(not_run_is_explicit)
 {
 	static const struct {
 		int status;
 		const char *fields[5];
-		gboolean not_run, is_signed;
+		enum plat_outcome outcome;
+		gboolean is_signed, contradictory;
 	} cases[] = {
-		{ 503, { "X-Primrosetide-Not-Executed", "1", NULL }, TRUE,
-		    FALSE },
-		{ 421, { "X-Primrosetide-Instance-Id", "i", NULL }, TRUE,
-		    FALSE },
-		{ 503, { NULL }, FALSE, FALSE },
-		{ 500, { "X-Primrosetide-Response-Signature", "s", NULL },
-		    FALSE, TRUE },
-		{ 503,
-		    { "X-Primrosetide-Response-Signature", "s",
-			"X-Primrosetide-Not-Executed", "1", NULL },
-		    FALSE, TRUE },
+		{ 503, { STATED, NULL }, PLAT_NOT_RUN, FALSE, FALSE },
+		{ 408, { STATED, NULL }, PLAT_NOT_RUN, FALSE, FALSE },
+		{ 429, { STATED, NULL }, PLAT_NOT_RUN, FALSE, FALSE },
+		{ 400, { STATED, NULL }, PLAT_NOT_RUN, FALSE, FALSE },
+		{ 421, { "X-Primrosetide-Instance-Id", "i", NULL },
+		    PLAT_NOT_RUN, FALSE, FALSE },
+		{ 503, { NULL }, PLAT_UNPROVED, FALSE, TRUE },
+		{ 429, { NULL }, PLAT_UNPROVED, FALSE, TRUE },
+		{ 408, { NULL }, PLAT_UNPROVED, FALSE, TRUE },
+		{ 503, { SIGNATURE, NULL }, PLAT_UNPROVED, TRUE, TRUE },
+		{ 421, { SIGNATURE, NULL }, PLAT_UNPROVED, TRUE, TRUE },
+		{ 503, { SIGNATURE, STATED, NULL }, PLAT_UNPROVED, TRUE, TRUE },
+		{ 500, { SIGNATURE, NULL }, PLAT_RAN, TRUE, FALSE },
+		{ 404, { SIGNATURE, NULL }, PLAT_RAN, TRUE, FALSE },
+		{ 500, { NULL }, PLAT_RAN, FALSE, FALSE },
+		{ 500, { STATED, NULL }, PLAT_RAN, FALSE, TRUE },
+		{ 504, { STATED, NULL }, PLAT_RAN, FALSE, TRUE },
+		{ 200, { STATED, NULL }, PLAT_RAN, FALSE, TRUE },
+		{ 200, { SIGNATURE, STATED, NULL }, PLAT_RAN, TRUE, TRUE },
+		{ 200, { SIGNATURE, NULL }, PLAT_RAN, TRUE, FALSE },
 	};
 	struct plat_response p;
 	struct h1_head *h;
@@ -554,8 +568,9 @@
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
 		h = head_new(cases[i].status, cases[i].fields);
 		plat_response_read(h, &p);
-		ck_assert_int_eq(p.not_run, cases[i].not_run);
+		ck_assert_int_eq(p.outcome, cases[i].outcome);
 		ck_assert_int_eq(p.is_signed, cases[i].is_signed);
+		ck_assert_int_eq(p.contradictory, cases[i].contradictory);
 		h1_head_unref(h);
 	}
 }
