httpio: a repeat that finds no server leaves the outcome unknown

Callers of ptnode would see "not run" (503) for a request that the backend server received: it was lost on a kept connection, and its repeat on a new one was refused, which alone decided.

The fetch remembers that a copy was sent. httpio_test refused_repeat_of_a_sent_request_is_unknown failed before: "not sent".

--- a/adapter/httpio/backend.c
+++ b/adapter/httpio/backend.c
@@ -43,6 +43,7 @@
 	struct h1_call *call; /* NULL: waiting, or the response is complete */
 	gboolean reused; /* the call is on a kept connection */
 	gboolean once;
+	gboolean sent; /* on a connection that failed, before a repeat */
 	httpio_head_cb head_cb;
 	httpio_body_cb body_cb; /* NULL: no part of the body is wanted */
 	void *arg;
@@ -305,6 +306,7 @@
 	if (f->once || !f->reused || f->head != NULL || end == H1_END_BAD)
 		return FALSE;
 	f->opts.fresh = TRUE;
+	f->sent = TRUE;
 	start(f);
 	return TRUE;
 }
@@ -318,8 +320,9 @@
 	if (repeat(f, end))
 		return;
 	if (f->head == NULL) {
-		fail_head(
-		    f, sent ? PT_ERROR_UNKNOWN : PT_ERROR_UNREACHABLE, why);
+		fail_head(f,
+		    sent || f->sent ? PT_ERROR_UNKNOWN : PT_ERROR_UNREACHABLE,
+		    why);
 		return;
 	}
 	f->err = g_error_new(PT_ERROR, PT_ERROR_UNKNOWN,
--- a/test/httpio_test.c
+++ b/test/httpio_test.c
@@ -765,6 +765,31 @@
 }
 END_TEST
 
+/*
+ * Guards against a request reported as not sent whose first copy the backend
+ * server received on a kept connection, while its repeat was refused.
+ */
+START_TEST(refused_repeat_of_a_sent_request_is_unknown)
+{
+	GSocket *s;
+
+	fetch("GET", FALSE);
+	s = accept_peer();
+	g_free(loop_expect(s, "\r\n\r\n"));
+	loop_send(s, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+	UNTIL(t.heads == 1);
+	httpio_fetch_read(t.fetch, on_body, NULL);
+	UNTIL(t.ends == 1);
+	t.heads = 0;
+	fetch("GET", FALSE);
+	g_free(loop_expect(s, "\r\n\r\n"));
+	g_socket_close(t.listener, NULL);
+	loop_close(s);
+	UNTIL(t.heads == 1);
+	ck_assert_int_eq(t.code, PT_ERROR_UNKNOWN);
+}
+END_TEST
+
 /* Guards against a new connection for each call. */
 START_TEST(connection_is_reused)
 {
@@ -816,6 +841,7 @@
 	tcase_add_test(c, cancel_as_the_head_arrives);
 	tcase_add_test(c, calls_wait_for_a_connection);
 	tcase_add_loop_test(c, sent_once, 0, 3);
+	tcase_add_test(c, refused_repeat_of_a_sent_request_is_unknown);
 	tcase_add_test(c, connection_is_reused);
 	suite_add_tcase(s, c);
 	return suite_run(s);
