ptnode: a response of a run does not bear Pt-Not-Run

A backend server's mark on a response other than 503 was passed on beside "Pt-Outcome: ran". The outcome itself was right on every path: at the node, over RPC, with a key, relayed and replayed, for 408, 421, 429 and 503.

--- a/cmd/ptnode/reply.c
+++ b/cmd/ptnode/reply.c
@@ -118,7 +118,8 @@
 			length = p->value;
 			continue;
 		}
-		if (g_ascii_strcasecmp(p->name, "Pt-Outcome") == 0)
+		if (g_ascii_strcasecmp(p->name, "Pt-Outcome") == 0 ||
+		    g_ascii_strcasecmp(p->name, "Pt-Not-Run") == 0)
 			continue;
 		h[n].name = p->name;
 		h[n++].value = p->value;
--- a/test/cluster/cluster.h
+++ b/test/cluster/cluster.h
@@ -37,6 +37,8 @@
 	gboolean drop_response; /* runs a request, closes without a response */
 	gboolean silent; /* runs requests and never responds */
 	gboolean false_health; /* announces "serving", responds with 500 */
+	int status; /* of responses to requests that ran, 0: 200 */
+	gboolean marks_runs; /* these responses bear Pt-Not-Run, too */
 	/* A request whose path begins with it ends the server; NULL: none. */
 	const char *ends_at;
 	guint ends; /* times that the server has ended */
@@ -84,6 +86,7 @@
 	gboolean reset; /* closed before the response was complete */
 	guint status;
 	char *outcome; /* header field Pt-Outcome, NULL: none */
+	gboolean marked; /* header field Pt-Not-Run was sent */
 	gboolean close; /* header field "Connection: close" was sent */
 	GString *body;
 	gint64 length; /* Content-Length, -1: none */
--- a/test/cluster/http.c
+++ b/test/cluster/http.c
@@ -196,11 +196,13 @@
 	c->status = status;
 	c->length = length;
 	c->close = r->server->draining;
-	for (i = 0; i < n; i++)
+	for (i = 0; i < n; i++) {
+		c->marked |= strcmp(h[i].name, "Pt-Not-Run") == 0;
 		if (strcmp(h[i].name, "Pt-Outcome") == 0) {
 			g_free(c->outcome);
 			c->outcome = g_strdup(h[i].value);
 		}
+	}
 }
 
 struct drained {
@@ -489,7 +491,12 @@
 		fetch_fail(f, PT_ERROR_UNKNOWN,
 		    "connection closed without a response");
 	} else if (!b->silent) {
-		f->head.status = b->false_health ? 500 : 200;
+		f->head.status = b->status != 0	   ? b->status
+				 : b->false_health ? 500
+						   : 200;
+		if (b->marks_runs)
+			f->head.headers[f->head.n_headers++] =
+			    (struct httpio_header){ "Pt-Not-Run", "true" };
 		g_string_append_printf(f->body, "serial=%u;", f->serial);
 		while (f->body->len < b->response_len)
 			g_string_append_c(f->body, 'x');
--- a/test/faults/main.c
+++ b/test/faults/main.c
@@ -174,6 +174,56 @@
 }
 END_TEST
 
+/* Answer to a request that the server ran and answered with a status. */
+static void
+expect_ran(guint at, const char *method, const char *path, const char *key,
+    guint status)
+{
+	struct cluster_call *c = cluster_call(at, method, path, key);
+
+	cluster_run(CLUSTER_S);
+	ck_assert(c->done);
+	ck_assert_uint_eq(c->status, status);
+	ck_assert_str_eq(c->outcome, "ran");
+	ck_assert(!c->marked);
+	ck_assert(cluster_call_ran(c));
+}
+
+static const struct {
+	int status;
+	gboolean marks_runs; /* with 503 the mark is a refusal */
+} run_answers[] = { { 503, FALSE }, { 429, FALSE }, { 429, TRUE },
+	{ 421, FALSE }, { 408, TRUE }, { 500, TRUE }, { 200, TRUE } };
+
+/*
+ * Guards against "not run" for a request that the backend server ran and
+ * answered with a status of its own that others use for refusals: at its node
+ * and through another one, with a key, through the owner of the key, and for a
+ * repeat with the key, which does not run again.
+ */
+START_TEST(status_of_a_run_is_no_refusal)
+{
+	guint i, status = (guint)run_answers[_i].status;
+	char *key;
+
+	cell_start(9);
+	for (i = 0; i < cluster.n; i++) {
+		cluster.nodes[i].b.status = run_answers[_i].status;
+		cluster.nodes[i].b.marks_runs = run_answers[_i].marks_runs;
+	}
+	for (i = 0; i < cluster.n; i++)
+		expect_ran(i, "GET", "/records/1", NULL, status);
+	key = cluster_issue_key(0);
+	for (i = 0; i < cluster.n; i++)
+		expect_ran(i, "POST", "/bookings", key, status);
+	ck_assert_uint_eq(cluster_key_runs(key), 1);
+	ck_assert_uint_eq(cluster.false_refusals, 0);
+	g_free(key);
+	g_string_free(cur_cell.violations, TRUE);
+	cluster_free();
+}
+END_TEST
+
 /*
  * Guards against a request that runs at another service: it waits for a slot
  * while a server of that service takes the place of its own.
@@ -561,6 +611,8 @@
 	tcase_add_test(t, node_that_leaves_refuses_requests);
 	tcase_add_loop_test(t, refusal_that_breaks_off_is_unknown, 0, 2);
 	tcase_add_test(t, waiting_request_does_not_run_at_another_service);
+	tcase_add_loop_test(
+	    t, status_of_a_run_is_no_refusal, 0, G_N_ELEMENTS(run_answers));
 	tcase_add_test(t, requests_need_the_key_of_an_organisation);
 	tcase_add_test(t, keyed_requests_keep_their_organisation);
 	tcase_add_test(t, node_with_an_older_version_names_no_organisation);
