ptproxy: a body is counted until its last reference is released

Cause: the account of all bodies was taken back when the request of the caller ended. A request that must not run twice goes on without its caller, and its run and connection still hold the body.

Change: body_take() hands the count over to the body, whose last reference takes it back.

--- a/cmd/ptproxy/fwd.c
+++ b/cmd/ptproxy/fwd.c
@@ -77,16 +77,6 @@
 	o->body = fwd->body;
 }
 
-GBytes *
-body_take(GByteArray **a)
-{
-	gsize len = (*a)->len;
-	guint8 *data = g_byte_array_free(*a, FALSE);
-
-	*a = g_byte_array_new();
-	return g_bytes_new_take(g_realloc(data, len), len);
-}
-
 void
 response_put_head(GString *s, const struct h1_head *h)
 {
@@ -134,6 +124,37 @@
 	p->body_bytes -= n;
 }
 
+/* What the references of a body share. */
+struct body {
+	struct proxy *proxy;
+	guint8 *data;
+	gsize counted;
+};
+
+static void
+body_free(void *arg)
+{
+	struct body *b = arg;
+
+	bodies_remove(b->proxy, b->counted);
+	g_free(b->data);
+	g_free(b);
+}
+
+GBytes *
+body_take(struct proxy *p, GByteArray **a, gsize *counted)
+{
+	struct body *b = g_new0(struct body, 1);
+	gsize len = (*a)->len;
+
+	b->proxy = p;
+	b->data = g_realloc(g_byte_array_free(*a, FALSE), len);
+	b->counted = *counted;
+	*counted = 0;
+	*a = g_byte_array_new();
+	return g_bytes_new_with_free_func(b->data, len, body_free, b);
+}
+
 gboolean
 output_full(const struct proxy *p)
 {
--- a/cmd/ptproxy/inbound.c
+++ b/cmd/ptproxy/inbound.c
@@ -46,7 +46,7 @@
 	struct h1_conn *conn;
 	struct h1_head *head; /* of the request */
 	GByteArray *body;
-	gsize held; /* bytes of the body, as counted by bodies_add() */
+	gsize held; /* bytes of the body, counted by bodies_add() */
 	gboolean no_memory; /* the body was dropped */
 	struct xchg *xchg;
 	GString *out; /* bytes of the response still to be sent */
@@ -351,7 +351,7 @@
 	plat_request_read(c->head, &p);
 	fwd->refs = 1;
 	fwd->head = h1_head_ref(c->head);
-	fwd->body = body_take(&c->body);
+	fwd->body = body_take(c->inbound->proxy, &c->body, &c->held);
 	fwd->attempt_id = g_strdup(p.attempt_id);
 	fwd->route = g_strdup(r->route);
 	fwd->service = g_strdup(r->service);
--- a/cmd/ptproxy/proxy.h
+++ b/cmd/ptproxy/proxy.h
@@ -52,9 +52,6 @@
  * releases, and "body" of the options, which belongs to the request.
  */
 void fwd_finish(GString *, const struct fwd *, struct h1_call_opts *);
-/* Takes the bytes of a body without a copy; the array is empty after it. */
-GBytes *body_take(GByteArray **);
-
 /* Appends the status line and the end-to-end fields of a response. */
 void response_put_head(GString *, const struct h1_head *);
 /* TRUE if a response to the request with this status has no body. */
@@ -67,6 +64,13 @@
  */
 gboolean bodies_add(struct proxy *, gsize);
 void bodies_remove(struct proxy *, gsize);
+/*
+ * Takes the bytes of a body without a copy; the array is empty after it.
+ * *counted bytes, as counted by bodies_add(), remain so until the last
+ * reference is released, and *counted becomes 0.  The proxy must outlive the
+ * body.
+ */
+GBytes *body_take(struct proxy *, GByteArray **, gsize *counted);
 /*
  * Responses that peers have not read take more than a quarter of the memory: no
  * request is accepted, and connections whose peers read nothing are closed.
--- a/cmd/ptproxy/request.c
+++ b/cmd/ptproxy/request.c
@@ -50,7 +50,7 @@
 	struct h1_head *head; /* of the request */
 	struct fwd *fwd;
 	GByteArray *body;
-	gsize held; /* bytes of the body, as counted by bodies_add() */
+	gsize held; /* bytes of the body, counted by bodies_add() */
 	struct rtab *rtab; /* holds a reference, as "route" points into it */
 	const struct rtab_route *route;
 	char *attempt_id;
@@ -599,7 +599,7 @@
 
 	fwd->refs = 1;
 	fwd->head = h1_head_ref(r->head);
-	fwd->body = body_take(&r->body);
+	fwd->body = body_take(r->proxy, &r->body, &r->held);
 	fwd->attempt_id = g_strdup(r->attempt_id);
 	fwd->route = g_strdup(r->route->name);
 	fwd->service = g_strdup(service);
--- a/test/ingress_test.c
+++ b/test/ingress_test.c
@@ -1170,6 +1170,39 @@
 }
 END_TEST
 
+/*
+ * Guards against memory that no account shows: the caller, or its node, leaves
+ * while a request that is not interrupted runs, and its body is still held.
+ */
+START_TEST(body_is_counted_until_its_run_ends)
+{
+	static const char *const fields[] = { "",
+		"Pt-Hop: to=self;route=once;service=svc;caller=svc;"
+		"left=20000000;target=20000000;priority=0;once=1;"
+		"returned=0;repeat=0;\r\n" };
+	char *body = g_strnfill(BODY, 'b');
+	char *text = g_strdup_printf("POST /once/ HTTP/1.1\r\nHost: h\r\n%s"
+				     "Content-Length: %d\r\n\r\n%s",
+	    fields[_i], BODY, body);
+	GSocket *s = loop_connect(HOST, port_of(_i)), *b = NULL;
+
+	loop_send(s, text);
+	UNTIL((b = g_socket_accept(listener, NULL, NULL)) != NULL);
+	g_socket_set_blocking(b, FALSE);
+	g_free(loop_expect(b, body));
+	loop_close(s);
+	LOOP_IDLE();
+	ck_assert_uint_eq(backend_running(p.backend), 1);
+	ck_assert_uint_eq(p.body_bytes, BODY);
+	loop_send(b, "HTTP/1.1 200 OK\r\n" SIGNED "Content-Length: 0\r\n\r\n");
+	UNTIL(backend_running(p.backend) == 0);
+	ck_assert_uint_eq(p.body_bytes, 0);
+	loop_close(b);
+	g_free(text);
+	g_free(body);
+}
+END_TEST
+
 /* More than the socket buffers of both ends hold. */
 #define UPLOAD (32 * 1024 * 1024)
 /* More than the node holds back of a response. */
@@ -1478,6 +1511,7 @@
 	tcase_add_test(t, stopping_node_waits_for_a_silent_upstream);
 	tcase_add_loop_test(t, refusal_after_a_lost_answer_may_have_run, 0, 3);
 	tcase_add_loop_test(t, invalid_refusal_may_have_run, 0, 3);
+	tcase_add_loop_test(t, body_is_counted_until_its_run_ends, 0, 2);
 	tcase_add_loop_test(t, status_passed_on_by_a_node_is_no_refusal, 0, 5);
 	tcase_add_loop_test(t, status_promises_not_run_only_with_proof, 0,
 	    G_N_ELEMENTS(outcomes));
