soak: backend servers answer runs with statuses of refusals

With faults, one run in 20 gets 503, 429, 408 or 421 without proof, signed or not; not while the recovery is checked, whose bound stays.

--- a/bench/soak/server.c
+++ b/bench/soak/server.c
@@ -18,6 +18,8 @@
 #define SLACK_US (300 * G_TIME_SPAN_MILLISECOND)
 /* Time from the acknowledgement of a drain to the replacement. */
 #define EXIT_DELAY_US (2 * SOAK_SECOND)
+/* With faults, one run in so many gets a status of refusals without proof. */
+#define FALSE_REFUSALS_DIV 20
 #define WORK_MIN_MS 2
 #define WORK_MAX_MS 60
 
@@ -33,6 +35,7 @@
 	guint i;
 	char *host, *id;
 	guint incarnation, sequence, running;
+	guint answered; /* runs */
 	gint64 process_start;
 	struct h1_server *http;
 	struct h1_pool *control;
@@ -71,16 +74,36 @@
 				 .len = strlen(body) });
 }
 
+/* Statuses of a faulty server for requests that it ran. */
+static const struct {
+	int status;
+	gboolean is_signed;
+} false_refusals[] = { { 503, FALSE }, { 503, TRUE }, { 429, TRUE },
+	{ 408, FALSE }, { 421, TRUE } };
+
 static void
 job_done(void *arg)
 {
 	struct job *j = arg;
+	struct server *s = j->server;
 	struct h1_request *r = j->request;
 	char *body =
 	    soak_body(h1_head_get(r->head, "X-Primrosetide-Attempt-Id"));
+	gboolean is_signed = TRUE;
+	int status = 200;
+	guint i;
 
+	if (!s->soak->planned_only && !s->soak->recovery &&
+	    ++s->answered % FALSE_REFUSALS_DIV == 0) {
+		i = s->answered / FALSE_REFUSALS_DIV %
+		    G_N_ELEMENTS(false_refusals);
+		status = false_refusals[i].status;
+		is_signed = false_refusals[i].is_signed;
+	}
 	job_free(j);
-	reply(r, 200, "X-Primrosetide-Response-Signature", body, body);
+	reply(r, status,
+	    is_signed ? "X-Primrosetide-Response-Signature" : "X-Unsigned",
+	    body, body);
 	g_free(body);
 }
 
