ingress_test: a server's answer is not reset by its close

A close with unread bytes of the request resets the connection, and the answer may be lost: the stand-in shuts down its side, and the test waits until the node has read.

--- a/test/ingress_test.c
+++ b/test/ingress_test.c
@@ -1097,7 +1097,9 @@
 	g_socket_set_blocking(b, FALSE);
 	g_free(loop_expect(b, "\r\n\r\n"));
 	loop_send(b, answer);
-	LOOP_IDLE();
+	/* A close would reset a connection with unread bytes. */
+	g_socket_shutdown(b, FALSE, TRUE, NULL);
+	UNTIL(backend_busy(p.backend) == 0);
 	loop_close(b);
 	g_free(answer);
 	return s;
